--- /dev/null
+++ b/src/main/java/org/quincecross/api/AgentApi.java
@@ -0,0 +1,118 @@
+package org.quincecross.api;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.quincecross.block.BlockHolder;
+import org.quincecross.block.Holdings;
+import org.quincecross.http.HttpResponse;
+import org.quincecross.leader.Leader;
+import org.quincecross.model.MachineId;
+import org.quincecross.model.MemberId;
+import org.quincecross.model.Span;
+import org.quincecross.model.SteadyTime;
+import org.quincecross.net.Timers;
+import org.quincecross.state.BlockLease;
+import org.quincecross.state.Ledger;
+import org.quincecross.wire.BadMessage;
+import org.quincecross.wire.JobCodec;
+import org.quincecross.wire.Json;
+import org.quincecross.wire.WorkerCodec;
+import org.quincecross.wire.WorkerReport;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Workers' reports: answered by the holder of their block, sent on to it by everyone else. */
+final class AgentApi {
+    private static final Logger LOG = LoggerFactory.getLogger(AgentApi.class);
+    /** A report whose block is just being leased waits this long for its answer; workers give up after 4 s. */
+    private static final Span WAIT_FOR_LEASE = Span.ofSeconds(2.5);
+    private static final Span LOOK_AGAIN = Span.ofMillis(50);
+    private static final Span STRAY_FOR = Span.ofSeconds(6);
+
+    private final Timers timers;
+    private final Ledger ledger;
+    private final Holdings holdings;
+    private final Leader leader;
+    private final MemberId self;
+    private final Map<MachineId, SteadyTime> strays = new HashMap<>();
+
+    AgentApi(Timers timers, Ledger ledger, Holdings holdings, Leader leader, MemberId self) {
+        this.timers = timers;
+        this.ledger = ledger;
+        this.holdings = holdings;
+        this.leader = leader;
+        this.self = self;
+    }
+
+    /** Machines of others' blocks that have reported here lately. */
+    List<MachineId> strays() {
+        SteadyTime now = timers.now();
+        strays.values().removeIf(at -> now.since(at).isMoreThan(STRAY_FOR));
+        return List.copyOf(strays.keySet());
+    }
+
+    void beat(byte[] body, Consumer<HttpResponse> reply) {
+        WorkerReport report;
+        try {
+            report = WorkerCodec.readReport(Json.parseFields(body));
+        } catch (BadMessage e) {
+            LOG.info("unreadable report: {}", e.getMessage());
+            reply.accept(HttpResponse.of(400, JobCodec.error(e.getMessage())));
+            return;
+        }
+        if (!ledger.isLoaded()) {
+            reply.accept(HttpResponse.of(503));
+            return;
+        }
+        route(report, timers.now().plus(WAIT_FOR_LEASE), reply);
+    }
+
+    private void route(WorkerReport report, SteadyTime until, Consumer<HttpResponse> reply) {
+        MachineId machine = report.machine().id();
+        BlockLease lease = ledger.blockOf(machine);
+        if (lease == null) {
+            if (leader.isLeading()) {
+                leader.newcomer(report.machine());
+                waitForLease(report, until, reply);
+            } else if (ledger.leader() != null) {
+                redirect(ledger.leader().member(), reply);
+            } else {
+                waitForLease(report, until, reply);
+            }
+            return;
+        }
+        if (lease.holder().equals(self)) {
+            BlockHolder holder = holdings.get(lease.id());
+            byte[] answer = holder == null ? null : holder.answer(report);
+            if (answer != null) {
+                strays.remove(machine);
+                reply.accept(HttpResponse.of(200, answer));
+            } else {
+                waitForLease(report, until, reply);
+            }
+            return;
+        }
+        strays.put(machine, timers.now());
+        if (ledger.members().containsKey(lease.holder())) {
+            redirect(lease.holder(), reply);
+        } else {
+            waitForLease(report, until, reply);
+        }
+    }
+
+    private void redirect(MemberId member, Consumer<HttpResponse> reply) {
+        reply.accept(member.equals(self) ? HttpResponse.of(503)
+                : HttpResponse.of(421, WorkerCodec.writeRedirect(member)));
+    }
+
+    /** The block is about to get a holder: better a late answer than a round of the other controllers. */
+    private void waitForLease(WorkerReport report, SteadyTime until, Consumer<HttpResponse> reply) {
+        if (until.isBefore(timers.now())) {
+            reply.accept(HttpResponse.of(503));
+        } else {
+            timers.after(LOOK_AGAIN, () -> route(report, until, reply));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/quincecross/api/UserApi.java
@@ -0,0 +1,232 @@
+package org.quincecross.api;
+
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import java.util.function.ToIntFunction;
+import org.quincecross.http.HttpRequest;
+import org.quincecross.http.HttpResponse;
+import org.quincecross.model.Job;
+import org.quincecross.model.JobId;
+import org.quincecross.model.JobPhase;
+import org.quincecross.model.MachineType;
+import org.quincecross.model.Resources;
+import org.quincecross.model.Shape;
+import org.quincecross.model.Span;
+import org.quincecross.model.SteadyTime;
+import org.quincecross.model.Team;
+import org.quincecross.net.Timers;
+import org.quincecross.state.Follower;
+import org.quincecross.state.JobRecord;
+import org.quincecross.state.Keys;
+import org.quincecross.state.Ledger;
+import org.quincecross.state.StateClient;
+import org.quincecross.wire.BadMessage;
+import org.quincecross.wire.Fields;
+import org.quincecross.wire.JobCodec;
+import org.quincecross.wire.Json;
+import org.quincecross.wire.Settings;
+import org.quincecross.wire.StateCodec.Change;
+import org.quincecross.wire.StateCodec.Guard;
+
+/**
+ * Submissions, polls and cancellations. What users are told is durable first, and what is not final is told only after
+ * the ledger was confirmed to be current: no answer is older than one that another controller has given.
+ */
+final class UserApi {
+    /** Without word from the state service for so long, what needs it is refused at once. */
+    private static final Span UNCONFIRMED = Span.ofSeconds(2);
+    private static final int CANCEL_TRIES = 6;
+
+    private final Timers timers;
+    private final Ledger ledger;
+    private final Follower follower;
+    private final StateClient client;
+    private final Settings settings;
+    private final ToIntFunction<JobId> running;
+    private final LongSupplier clockMs;
+    private final Submissions submissions;
+
+    UserApi(Timers timers, Ledger ledger, Follower follower, StateClient client, Settings settings,
+            ToIntFunction<JobId> running, LongSupplier clockMs) {
+        this.timers = timers;
+        this.ledger = ledger;
+        this.follower = follower;
+        this.client = client;
+        this.settings = settings;
+        this.running = running;
+        this.clockMs = clockMs;
+        this.submissions = new Submissions(timers, client, follower, settings.stateLimits().txnChanges());
+    }
+
+    /** Answers a request below {@link JobCodec#JOBS}. */
+    void handle(HttpRequest request, Consumer<HttpResponse> reply) {
+        String rest = request.path().substring(JobCodec.JOBS.length());
+        if (rest.isEmpty()) {
+            if (request.method().equals("POST")) {
+                submit(request.body(), reply);
+            } else {
+                reply.accept(HttpResponse.of(405));
+            }
+            return;
+        }
+        boolean cancel = rest.endsWith(JobCodec.CANCEL);
+        JobId id = JobId.parse(rest.substring(1, cancel ? Math.max(1, rest.length() - JobCodec.CANCEL.length()) : rest.length()));
+        if (rest.charAt(0) != '/' || id == null) {
+            reply.accept(HttpResponse.of(404));
+        } else if (cancel && request.method().equals("POST")) {
+            cancel(id, CANCEL_TRIES, reply);
+        } else if (!cancel && request.method().equals("GET")) {
+            poll(id, reply);
+        } else {
+            reply.accept(HttpResponse.of(405));
+        }
+    }
+
+    private static HttpResponse later(String why) {
+        return HttpResponse.of(503, JobCodec.error(why)).withRetryAfter(1);
+    }
+
+    private static HttpResponse bad(int status, String why) {
+        return HttpResponse.of(status, JobCodec.error(why));
+    }
+
+    private boolean isCutOff() {
+        SteadyTime confirmed = follower.confirmed();
+        return confirmed == null || timers.now().since(confirmed).isMoreThan(UNCONFIRMED);
+    }
+
+    private HttpResponse state(JobRecord record) {
+        int tasks = record.job() == null ? 0 : record.job().tasks();
+        int done = record.phase() == JobPhase.DONE ? tasks : ledger.doneCount(record.id());
+        return HttpResponse.of(200, JobCodec.status(record.id(), record.phase(), done,
+                record.phase() == JobPhase.OPEN ? running.applyAsInt(record.id()) : 0));
+    }
+
+    /** Answers with a job's state: at once if it is final, else when the ledger is known to be current. */
+    private void look(JobId id, Consumer<HttpResponse> reply, Runnable unknown) {
+        JobRecord known = ledger.job(id);
+        if (known != null && known.phase().isFinal()) {
+            reply.accept(state(known));
+        } else if (isCutOff()) {
+            reply.accept(later("the state service cannot be reached"));
+        } else {
+            follower.barrier(current -> {
+                JobRecord record = ledger.job(id);
+                if (!current) {
+                    reply.accept(later("the state service cannot be reached"));
+                } else if (record == null) {
+                    unknown.run();
+                } else {
+                    reply.accept(state(record));
+                }
+            });
+        }
+    }
+
+    private void poll(JobId id, Consumer<HttpResponse> reply) {
+        look(id, reply, () -> reply.accept(HttpResponse.of(404, JobCodec.error("no such job"))));
+    }
+
+    private void submit(byte[] body, Consumer<HttpResponse> reply) {
+        Fields in;
+        JobId id;
+        try {
+            in = Json.parseFields(body);
+            id = JobCodec.id(in);
+        } catch (BadMessage e) {
+            reply.accept(bad(400, e.getMessage()));
+            return;
+        }
+        if (ledger.job(id) != null) {
+            look(id, reply, () -> reply.accept(later("try again")));
+            return;
+        }
+        if (isCutOff()) {
+            reply.accept(later("the state service cannot be reached"));
+            return;
+        }
+        HttpResponse refusal;
+        Job job = null;
+        try {
+            job = JobCodec.read(in);
+            refusal = refusal(job);
+        } catch (BadMessage e) {
+            refusal = bad(400, e.getMessage());
+        }
+        if (refusal == null) {
+            accept(job, reply);
+        } else if (refusal.status() == 503) {
+            reply.accept(refusal);
+        } else {
+            // A known job is known whatever its repetition says: another controller may have accepted it just now.
+            HttpResponse verdict = refusal;
+            look(id, reply, () -> reply.accept(verdict));
+        }
+    }
+
+    private void accept(Job job, Consumer<HttpResponse> reply) {
+        submissions.submit(job, clockMs.getAsLong(), outcome -> {
+            JobRecord record = ledger.job(job.id());
+            switch (outcome) {
+                case ACCEPTED -> reply.accept(HttpResponse.of(201, JobCodec.accepted(job.id(), JobPhase.OPEN, 0)));
+                case LOOK -> reply.accept(record == null ? later("try again") : state(record));
+                case REFUSED -> reply.accept(later("the state service does not take it now"));
+                default -> throw new IllegalStateException(outcome.toString());
+            }
+        });
+    }
+
+    /** Why a job can never run, or null. */
+    private HttpResponse refusal(Job job) {
+        Team team = settings.teams().get(job.team());
+        if (team == null) {
+            return bad(422, "unknown team");
+        }
+        if (ledger.types().isEmpty()) {
+            return later("the machine types are not known yet");
+        }
+        boolean fits = false;
+        for (MachineType type : ledger.types().values()) {
+            boolean allowed = job.types() == null || job.types().contains(type.name());
+            fits |= allowed && job.each().fitsIn(type.capacity());
+        }
+        if (!fits) {
+            return bad(422, "no allowed machine type fits a task");
+        }
+        Resources need = job.shape() == Shape.ARRAY ? job.each() : job.each().times(job.tasks());
+        return need.fitsIn(team.limit()) ? null : bad(422, "more than the team's limit");
+    }
+
+    private void cancel(JobId id, int tries, Consumer<HttpResponse> reply) {
+        JobRecord known = ledger.job(id);
+        if (known == null) {
+            follower.barrier(current -> {
+                if (current && ledger.job(id) == null) {
+                    reply.accept(HttpResponse.of(404, JobCodec.error("no such job")));
+                } else if (current) {
+                    cancel(id, tries, reply);
+                } else {
+                    reply.accept(later("the state service cannot be reached"));
+                }
+            });
+            return;
+        }
+        if (known.phase().isFinal()) {
+            reply.accept(state(known));
+            return;
+        }
+        if (isCutOff() || tries == 0) {
+            reply.accept(later("the state service cannot be reached"));
+            return;
+        }
+        client.txn(List.of(new Guard(Keys.job(id), known.version())),
+                List.of(Change.put(Keys.job(id), known.cancelled())), outcome -> {
+                    if (outcome.committed()) {
+                        reply.accept(HttpResponse.of(200, JobCodec.status(id, JobPhase.CANCELLED, ledger.doneCount(id), 0)));
+                    } else {
+                        follower.barrier(current -> timers.after(Span.ofMillis(60), () -> cancel(id, tries - 1, reply)));
+                    }
+                });
+    }
+}
--- /dev/null
+++ b/src/main/java/org/quincecross/block/BlockHolder.java
@@ -0,0 +1,752 @@
+package org.quincecross.block;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.quincecross.http.HttpRequest;
+import org.quincecross.model.Attempt;
+import org.quincecross.model.BlockId;
+import org.quincecross.model.Job;
+import org.quincecross.model.JobId;
+import org.quincecross.model.JobPhase;
+import org.quincecross.model.Machine;
+import org.quincecross.model.MachineId;
+import org.quincecross.model.MachineType;
+import org.quincecross.model.Resources;
+import org.quincecross.model.Shape;
+import org.quincecross.model.Span;
+import org.quincecross.model.SteadyTime;
+import org.quincecross.model.TaskId;
+import org.quincecross.model.TaskSet;
+import org.quincecross.model.Token;
+import org.quincecross.net.HttpOutcome;
+import org.quincecross.sched.BlockScheduler;
+import org.quincecross.sched.Entry;
+import org.quincecross.sched.MachineQueue;
+import org.quincecross.sched.Preemption;
+import org.quincecross.state.Allocation;
+import org.quincecross.state.BlockLease;
+import org.quincecross.state.JobRecord;
+import org.quincecross.wire.BadMessage;
+import org.quincecross.wire.Json;
+import org.quincecross.wire.Order;
+import org.quincecross.wire.WorkerCodec;
+import org.quincecross.wire.WorkerReport;
+import org.quincecross.wire.WorkerReport.Cause;
+import org.quincecross.wire.WorkerReport.Piece;
+import org.quincecross.wire.WorkerReport.TaskState;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Holds one block: queues the tasks allocated to it on its machines, starts them, and follows what becomes of them.
+ *
+ * <p>No task is started while it may be on another machine. What a former holder may have started stays
+ * {@link Placement.State#UNSETTLED} until every machine of the block has shown the present token (its report is then
+ * complete, and no older command can follow) or has surely lost its lease.
+ */
+public final class BlockHolder {
+    private static final Logger LOG = LoggerFactory.getLogger(BlockHolder.class);
+    private static final Span DIRECT_TIMEOUT = Span.ofSeconds(1.5);
+    private static final Span DIRECT_RETRY = Span.ofSeconds(1);
+    /** Beyond the clocks' drift: what a worker and this process may take to notice. */
+    private static final Span LEASE_MARGIN = Span.ofSeconds(0.7);
+    private static final double CLOCK_DRIFT = 1.001;
+    private static final int MOST_ORDERS = 300;
+    /** An attempt is the block's token, then this many bits of a count: larger under every later lease. */
+    private static final int ATTEMPT_BITS = 20;
+    private static final Span ROOM_PATIENCE = Span.ofMillis(300);
+
+    private final HolderContext context;
+    private final Map<MachineId, Session> sessions = new LinkedHashMap<>();
+    private final Map<TaskId, Placement> placements = new TreeMap<>();
+    private final Map<TaskId, Entry> entries = new HashMap<>();
+    private final BlockScheduler scheduler = new BlockScheduler();
+    private final Map<JobId, Set<MachineId>> failedOn = new HashMap<>();
+    private final Set<JobId> succeeded = new HashSet<>();
+    private BlockLease lease;
+    private boolean settled;
+    private boolean superseded;
+    private long attempts;
+
+    /** Takes over a block whose former holder, if cut off, may go on answering its machines for a while. */
+    public BlockHolder(HolderContext context, BlockLease lease) {
+        this.context = context;
+        this.lease = lease;
+        SteadyTime now = context.now();
+        for (Machine machine : lease.machines().values()) {
+            addMachine(machine, now.plus(context.longestUnconfirmed()));
+        }
+        settle();
+        sync();
+        fence();
+    }
+
+    public BlockLease lease() {
+        return lease;
+    }
+
+    public BlockId id() {
+        return lease.id();
+    }
+
+    private Token token() {
+        return lease.token();
+    }
+
+    // ---- the lease and the allocation, as the ledger has them ----
+
+    private void addMachine(Machine machine, SteadyTime leaseFrom) {
+        MachineType type = context.ledger().types().get(machine.type());
+        Resources capacity = type == null ? Resources.NONE : type.capacity();
+        Session session = new Session(machine, capacity, type == null ? 0 : type.cacheGb(), context.now(), leaseFrom);
+        sessions.put(machine.id(), session);
+        scheduler.addMachine(machine.id(), capacity, session::hasImage);
+    }
+
+    /** The lease was renewed with a higher token, and nobody else has held the block in between. */
+    public void renewed(BlockLease next) {
+        lease = next;
+        superseded = false;
+        SteadyTime now = context.now();
+        for (MachineId machine : List.copyOf(sessions.keySet())) {
+            if (!next.machines().containsKey(machine)) {
+                // The leader takes a machine out only once it is gone, and all that was on it.
+                freeAll(machine, now);
+                sessions.remove(machine);
+                scheduler.removeMachine(machine);
+            }
+        }
+        for (Machine machine : next.machines().values()) {
+            if (!sessions.containsKey(machine.id())) {
+                // A machine that joins has none of this block's tasks, and no other block's.
+                addMachine(machine, now);
+            }
+        }
+        for (Session session : sessions.values()) {
+            if (session.state() == Session.State.FENCED) {
+                session.enter(Session.State.UNFENCED);
+            }
+        }
+        settle();
+        sync();
+        fence();
+    }
+
+    /** Brings the placements in line with the ledger. */
+    public void sync() {
+        SteadyTime now = context.now();
+        Allocation allocation = context.ledger().allocation(id());
+        for (Map.Entry<JobId, TaskSet> allocated : allocation.tasks().entrySet()) {
+            JobRecord job = context.ledger().job(allocated.getKey());
+            if (job == null || job.job() == null) {
+                continue; // a done job: nothing of it is left to do
+            }
+            TaskSet tasks = allocated.getValue();
+            for (int i = tasks.next(0); i >= 0; i = tasks.next(i + 1)) {
+                TaskId task = job.id().task(i);
+                if (!placements.containsKey(task) && !context.ledger().isDone(job.id(), i)) {
+                    Placement placement = new Placement(task, job.job(),
+                            settled ? Placement.State.WAITING : Placement.State.UNSETTLED, now);
+                    placements.put(task, placement);
+                }
+            }
+        }
+        for (Placement placement : List.copyOf(placements.values())) {
+            syncPlacement(placement, allocation, now);
+        }
+        enqueueWaiting();
+        act();
+    }
+
+    private void syncPlacement(Placement placement, Allocation allocation, SteadyTime now) {
+        TaskId task = placement.task();
+        JobRecord job = context.ledger().job(task.job());
+        boolean allocated = allocation.has(task.job(), task.index());
+        if (context.ledger().isDone(task.job(), task.index()) || job == null || job.phase() == JobPhase.DONE) {
+            if (placement.isBound()) {
+                placement.stop(Span.ZERO, true, now); // done once already: a second run serves nobody
+            } else {
+                drop(placement);
+            }
+        } else if (job.phase() == JobPhase.CANCELLED || !allocated) {
+            switch (placement.state()) {
+                case STARTING, ACTIVE, STOPPING -> placement.stop(Span.ZERO, true, now);
+                case WAITING, COMPLETED -> {
+                    dequeue(task);
+                    placement.release(now);
+                    context.newsForLeader();
+                }
+                case UNSETTLED, RELEASED -> { }
+                default -> throw new IllegalStateException(placement.state().toString());
+            }
+            if (!allocated && placement.state() == Placement.State.RELEASED) {
+                drop(placement);
+            }
+        }
+    }
+
+    private void drop(Placement placement) {
+        dequeue(placement.task());
+        placements.remove(placement.task());
+    }
+
+    private void dequeue(TaskId task) {
+        Entry entry = entries.remove(task);
+        if (entry != null) {
+            scheduler.remove(entry);
+            entry.tasks().forEach(entries::remove);
+        }
+    }
+
+    /** Puts what waits into queues; a gang as a whole, once all of its tasks wait. */
+    private void enqueueWaiting() {
+        for (Placement placement : placements.values()) {
+            if (placement.state() != Placement.State.WAITING || entries.containsKey(placement.task())) {
+                continue;
+            }
+            Job job = placement.job();
+            List<TaskId> unit = new ArrayList<>();
+            if (job.shape() == Shape.GANG) {
+                for (int i = 0; i < job.tasks(); i++) {
+                    Placement member = placements.get(job.id().task(i));
+                    if (member != null && member.state() == Placement.State.WAITING) {
+                        unit.add(member.task());
+                    }
+                }
+                if (unit.size() < job.tasks()) {
+                    continue;
+                }
+            } else {
+                unit.add(placement.task());
+            }
+            JobRecord record = context.ledger().job(job.id());
+            Entry entry = new Entry(job, unit, record.version());
+            if (placement.failures() > 0) {
+                entry.avoided().addAll(failedOn.getOrDefault(job.id(), Set.of()));
+                if (entry.avoided().size() >= sessions.size()) {
+                    entry.avoided().clear();
+                }
+                double wait = Math.min(30, 0.5 * Math.pow(2, Math.min(placement.failures(), 6)));
+                entry.holdBack(context.now().plus(Span.ofSeconds(wait)));
+            }
+            if (scheduler.enqueue(entry)) {
+                unit.forEach(task -> entries.put(task, entry));
+            }
+        }
+    }
+
+    // ---- reports ----
+
+    /** Answers a worker's report; null where this controller is not entitled to. */
+    public byte[] answer(WorkerReport report) {
+        Session session = sessions.get(report.machine().id());
+        SteadyTime now = context.now();
+        if (session == null || superseded || !context.isEntitled()) {
+            return null;
+        }
+        take(session, report, true);
+        if (superseded) {
+            return null;
+        }
+        session.hear(now);
+        session.answered(now);
+        schedule();
+        List<Order> orders = session.state() == Session.State.FENCED ? orders(session) : List.of();
+        tell(orders, report.order());
+        byte[] answer = WorkerCodec.writeAnswer(token(), orders);
+        sendDirects();
+        return answer;
+    }
+
+    private void take(Session session, WorkerReport report, boolean beat) {
+        if (report.token().isAfter(token())) {
+            // Someone else has leased the block: the ledger will say so soon.
+            LOG.info("block {}: machine {} has a higher token, stepping back", id(), session.machine().id());
+            superseded = true;
+            return;
+        }
+        if (session.report() != null && !report.isNewerThan(session.report())) {
+            return;
+        }
+        SteadyTime now = context.now();
+        boolean newSession = session.report() != null && session.report().session() != report.session();
+        session.take(report);
+        if (newSession || session.state() == Session.State.LOST) {
+            // The worker has killed and forgotten all that it had, and what it has now is in this report.
+            freeUnreported(session, now);
+            if (session.state() == Session.State.LOST) {
+                session.enter(Session.State.UNFENCED);
+            }
+        }
+        if (!report.token().equals(token())) {
+            return; // what an unfenced machine reports may yet change
+        }
+        if (session.state() != Session.State.FENCED) {
+            session.enter(Session.State.FENCED);
+            LOG.debug("block {}: machine {} fenced", id(), session.machine().id());
+        }
+        for (Piece piece : report.pieces()) {
+            takePiece(session, piece, now);
+        }
+        freeMissing(session, beat, now);
+        settle();
+    }
+
+    private void takePiece(Session session, Piece piece, SteadyTime now) {
+        Placement placement = placements.get(piece.task());
+        MachineId machine = session.machine().id();
+        if (placement == null) {
+            return;
+        }
+        boolean ours = placement.isBoundTo(machine, piece.attempt());
+        if (piece.state() != TaskState.EXITED) {
+            boolean hasImage = piece.state() != TaskState.FETCHING;
+            if (hasImage) {
+                session.usedImage(placement.job().image(), placement.job().imageGb());
+            }
+            if (ours || placement.state() == Placement.State.UNSETTLED) {
+                placement.reported(machine, piece.attempt(), hasImage && piece.state() != TaskState.WAITING, now);
+                if (placement.isRunning() && now.since(placement.runningSince()).isMoreThan(Span.ofSeconds(10))) {
+                    session.failures().remove(placement.task().job());
+                    succeeded.add(placement.task().job());
+                }
+            }
+            return;
+        }
+        if (piece.cause() == Cause.DONE && placement.job().shape() != Shape.SERVICE) {
+            boolean open = placement.state() != Placement.State.COMPLETED && placement.state() != Placement.State.RELEASED;
+            if (open && (ours || placement.state() == Placement.State.UNSETTLED || placement.state() == Placement.State.WAITING)) {
+                dequeue(piece.task());
+                session.failures().clear();
+                succeeded.add(piece.task().job());
+                placement.completed(machine, piece.attempt(), now);
+                context.newsForLeader();
+            }
+            return;
+        }
+        if (ours && !session.mayStillStart(piece.attempt())) {
+            exited(session, placement, piece, now);
+        }
+    }
+
+    private void exited(Session session, Placement placement, Piece piece, SteadyTime now) {
+        MachineId machine = session.machine().id();
+        JobId job = placement.task().job();
+        if (piece.cause() == Cause.ERROR) {
+            placement.failed();
+            failedOn.computeIfAbsent(job, j -> new HashSet<>()).add(machine);
+            session.failures().merge(job, 1, Integer::sum);
+            judge(session);
+        } else if (piece.cause() == Cause.FULL || piece.cause() == Cause.IN_USE || piece.cause() == Cause.NO_SUCH) {
+            LOG.info("block {}: {} refused {}: {}", id(), machine, placement.task(), piece.cause());
+            placement.failed();
+        }
+        placement.gone(now);
+        if (placement.state() == Placement.State.RELEASED) {
+            context.newsForLeader();
+        }
+    }
+
+    /**
+     * Tells a sick machine from a bad job: a machine is sick when several jobs fail there and none succeeds, or one
+     * that runs well elsewhere; a job that fails wherever it is tried says nothing about the machines.
+     */
+    private void judge(Session session) {
+        int blame = 0;
+        for (Map.Entry<JobId, Integer> failed : session.failures().entrySet()) {
+            boolean badEverywhere = failedOn.get(failed.getKey()).size() >= 3 && !succeeded.contains(failed.getKey());
+            if (!badEverywhere) {
+                blame += succeeded.contains(failed.getKey()) ? Math.min(2, failed.getValue()) : 1;
+            }
+        }
+        if (blame >= 2 && !session.isSick()) {
+            LOG.info("block {}: machine {} fails what it is given: no more work there", id(), session.machine().id());
+            session.markSick();
+            context.newsForLeader();
+        }
+    }
+
+    /** Tasks bound to the machine that its complete report does not have. */
+    private void freeMissing(Session session, boolean beat, SteadyTime now) {
+        Set<TaskId> reported = new HashSet<>();
+        for (Piece piece : session.report().pieces()) {
+            reported.add(piece.task());
+        }
+        MachineId machine = session.machine().id();
+        for (Placement placement : placements.values()) {
+            if (!placement.isBound() || !placement.machine().equals(machine) || reported.contains(placement.task())) {
+                continue;
+            }
+            boolean certain = !session.mayStillStart(placement.attempt())
+                    && beat && Long.compareUnsigned(session.report().order(), placement.toldInAnswerTo()) > 0;
+            if (placement.state() == Placement.State.STARTING) {
+                placement.untell(); // the start did not get there, or not yet: it may be repeated
+            } else if (certain) {
+                placement.gone(now);
+                context.newsForLeader();
+            }
+        }
+    }
+
+    private void freeUnreported(Session session, SteadyTime now) {
+        Set<Attempt> reported = new HashSet<>();
+        session.report().pieces().forEach(piece -> reported.add(piece.attempt()));
+        for (Placement placement : placements.values()) {
+            if (placement.isBound() && placement.machine().equals(session.machine().id())
+                    && !reported.contains(placement.attempt())) {
+                placement.gone(now);
+            }
+        }
+        context.newsForLeader();
+    }
+
+    private void freeAll(MachineId machine, SteadyTime now) {
+        for (Placement placement : placements.values()) {
+            if (placement.isBound() && placement.machine().equals(machine)) {
+                placement.gone(now);
+            }
+        }
+        context.newsForLeader();
+    }
+
+    /** Once every machine is fenced or lost, what none of them reported is surely nowhere. */
+    private void settle() {
+        if (settled || sessions.values().stream().anyMatch(session -> session.state() == Session.State.UNFENCED)) {
+            return;
+        }
+        settled = true;
+        LOG.info("block {}: all {} machines fenced or lost, token {}", id(), sessions.size(), token());
+        SteadyTime now = context.now();
+        for (Placement placement : placements.values()) {
+            if (placement.state() == Placement.State.UNSETTLED) {
+                placement.gone(now);
+            }
+        }
+    }
+
+    // ---- what goes on by itself ----
+
+    /** To be called several times a second. */
+    public void tick() {
+        SteadyTime now = context.now();
+        Span lease = context.workers().lease().times(CLOCK_DRIFT).plus(LEASE_MARGIN);
+        for (Session session : sessions.values()) {
+            if (session.state() != Session.State.LOST && session.leaseIsOver(lease, now)) {
+                LOG.info("block {}: machine {} is silent and its lease is over", id(), session.machine().id());
+                session.enter(Session.State.LOST);
+                freeAll(session.machine().id(), now);
+                settle();
+            }
+        }
+        sync();
+        fence();
+    }
+
+    private void act() {
+        schedule();
+        sendDirects();
+    }
+
+    private boolean isOpen(Session session) {
+        return session.state() == Session.State.FENCED && !session.isSick() && !session.hasNotice()
+                && !lease.leaving().contains(session.machine().id())
+                && !context.now().since(session.heard()).isMoreThan(context.workers().report().times(2).plus(Span.ofSeconds(2)));
+    }
+
+    private void schedule() {
+        if (superseded || !context.isEntitled()) {
+            return;
+        }
+        enqueueWaiting();
+        SteadyTime now = context.now();
+        for (Session session : sessions.values()) {
+            scheduler.update(session.machine().id(), used(session), isOpen(session));
+        }
+        for (BlockScheduler.Start start : scheduler.schedule(now)) {
+            Attempt attempt = new Attempt((token().number() << ATTEMPT_BITS) + ++attempts);
+            for (int i = 0; i < start.machines().size(); i++) {
+                TaskId task = start.entry().tasks().get(i);
+                entries.remove(task);
+                placements.get(task).start(start.machines().get(i), attempt, now);
+            }
+        }
+        makeRoom(now);
+        clearNoticed(now);
+        clearLeaving(now);
+    }
+
+    /** What the machine's tasks take: those placed there, and what else it reports. */
+    private Resources used(Session session) {
+        Resources used = Resources.NONE;
+        MachineId machine = session.machine().id();
+        for (Placement placement : placements.values()) {
+            if (placement.isBound() && placement.machine().equals(machine)) {
+                used = used.plus(placement.job().each());
+            }
+        }
+        if (session.report() != null) {
+            for (Piece piece : session.report().pieces()) {
+                Placement placement = placements.get(piece.task());
+                boolean counted = placement != null && placement.isBoundTo(machine, piece.attempt());
+                JobRecord job = context.ledger().job(piece.task().job());
+                if (piece.state() != TaskState.EXITED && !counted && job != null && job.job() != null) {
+                    used = used.plus(job.job().each());
+                }
+            }
+        }
+        return used;
+    }
+
+    /** Stops work of lower priority for work that has waited a moment and fits nowhere. */
+    private void makeRoom(SteadyTime now) {
+        Set<Entry> seen = new HashSet<>();
+        List<Preemption.Running> running = new ArrayList<>();
+        for (Placement placement : placements.values()) {
+            if (placement.state() == Placement.State.STOPPING) {
+                return; // room is being made already
+            }
+            if ((placement.state() == Placement.State.ACTIVE || placement.state() == Placement.State.STARTING)
+                    && placement.job().shape() != Shape.GANG) {
+                running.add(new Preemption.Running(placement.task(), placement.machine(), placement.job().rank(),
+                        placement.job().each(), placement.job().saves(), placement.since()));
+            }
+        }
+        for (Entry entry : List.copyOf(entries.values())) {
+            Placement first = placements.get(entry.tasks().get(0));
+            if (!seen.add(entry) || entry.tasks().size() > 1 || !now.since(first.since()).isMoreThan(ROOM_PATIENCE)) {
+                continue;
+            }
+            List<Preemption.Running> victims = Preemption.choose(scheduler, entry, running);
+            if (victims != null && !victims.isEmpty()) {
+                for (Preemption.Running victim : victims) {
+                    Placement placement = placements.get(victim.task());
+                    LOG.info("block {}: {} makes room for {}", id(), victim.task(), first.task());
+                    placement.stop(graceOf(placement.job()), true, now);
+                }
+                return;
+            }
+        }
+    }
+
+    /** A machine that is about to be taken: what can save does so, and what cannot finish goes elsewhere at once. */
+    private void clearNoticed(SteadyTime now) {
+        for (Session session : sessions.values()) {
+            if (!session.hasNotice()) {
+                continue;
+            }
+            for (Placement placement : placements.values()) {
+                if (!placement.isBound() || placement.state() == Placement.State.STOPPING
+                        || !placement.machine().equals(session.machine().id())) {
+                    continue;
+                }
+                double left = placement.job().estimate().seconds()
+                        - (placement.isRunning() ? now.since(placement.runningSince()).seconds() : 0);
+                if (left < 0 || left > 0.6 * session.report().notice().seconds() || placement.job().shape() == Shape.SERVICE) {
+                    placement.stop(graceOf(placement.job()), true, now);
+                }
+            }
+        }
+    }
+
+    /** A machine that is to go back to the cloud, or fails what it is given: its work goes elsewhere. */
+    private void clearLeaving(SteadyTime now) {
+        for (Placement placement : placements.values()) {
+            if (placement.isBound() && placement.state() != Placement.State.STOPPING
+                    && (lease.leaving().contains(placement.machine()) || sessions.get(placement.machine()).isSick())) {
+                placement.stop(graceOf(placement.job()), true, now);
+            }
+        }
+    }
+
+    private static Span graceOf(Job job) {
+        return job.saves() ? job.saveTime().plus(Span.ofSeconds(1)) : Span.ZERO;
+    }
+
+    // ---- commands ----
+
+    /** All that the machine should be told now; everything in it may be told again. */
+    private List<Order> orders(Session session) {
+        List<Order> orders = new ArrayList<>();
+        MachineId machine = session.machine().id();
+        Set<Attempt> present = new HashSet<>();
+        for (Piece piece : session.report().pieces()) {
+            present.add(piece.attempt());
+            Placement placement = placements.get(piece.task());
+            boolean ours = placement != null && placement.isBoundTo(machine, piece.attempt());
+            if (piece.state() == TaskState.EXITED) {
+                boolean keep = ours || placement != null && placement.state() == Placement.State.COMPLETED
+                        && placement.machine().equals(machine) && placement.attempt().equals(piece.attempt());
+                if (!keep && !session.mayStillStart(piece.attempt())) {
+                    orders.add(Order.forget(piece.task(), piece.attempt()));
+                }
+            } else if (!ours) {
+                orders.add(Order.stop(piece.task(), piece.attempt(), Span.ZERO));
+            } else if (placement.state() == Placement.State.STOPPING
+                    && (piece.state() != TaskState.SAVING || placement.grace().nanos() == 0)) {
+                orders.add(Order.stop(piece.task(), piece.attempt(), placement.grace()));
+            }
+        }
+        for (Placement placement : placements.values()) {
+            if (placement.state() == Placement.State.STARTING && placement.machine().equals(machine)
+                    && !present.contains(placement.attempt())) {
+                orders.add(Order.start(placement.task(), placement.attempt()));
+            }
+        }
+        return orders.size() > MOST_ORDERS ? orders.subList(0, MOST_ORDERS) : orders;
+    }
+
+    private void tell(List<Order> orders, long answerTo) {
+        for (Order order : orders) {
+            Placement placement = placements.get(order.task());
+            if (placement != null && placement.attempt().equals(order.attempt())) {
+                placement.tell(answerTo);
+            }
+        }
+    }
+
+    /** Sends starts and stops at once rather than with the answer to the next report. */
+    private void sendDirects() {
+        SteadyTime now = context.now();
+        for (Session session : sessions.values()) {
+            if (session.state() != Session.State.FENCED || !session.canSendDirect(now) || superseded) {
+                continue;
+            }
+            boolean urgent = false;
+            for (Placement placement : placements.values()) {
+                boolean toTell = placement.state() == Placement.State.STARTING || placement.state() == Placement.State.STOPPING;
+                urgent |= toTell && !placement.isTold() && placement.machine().equals(session.machine().id());
+            }
+            List<Order> orders = urgent ? orders(session) : List.of();
+            if (!orders.isEmpty()) {
+                tell(orders, 0);
+                sendDirect(session, orders);
+            }
+        }
+    }
+
+    private void sendDirect(Session session, List<Order> orders) {
+        Token sentWith = token();
+        Set<Attempt> starts = new HashSet<>();
+        for (Order order : orders) {
+            if (order.verb() == Order.Verb.START) {
+                starts.add(order.attempt());
+            }
+        }
+        session.directSent(starts);
+        HttpRequest request = HttpRequest.post(WorkerCodec.ORDERS,
+                WorkerCodec.writeDirect(sentWith, session.report().session(), orders));
+        context.http().call(session.machine().address(), request, DIRECT_TIMEOUT,
+                outcome -> directEnded(session, starts, sentWith, outcome));
+    }
+
+    private void directEnded(Session session, Set<Attempt> starts, Token sentWith, HttpOutcome outcome) {
+        WorkerReport report = readReport(outcome);
+        if (report == null) {
+            boolean mayHaveArrived = outcome.sent() && sentWith.equals(token());
+            session.directFailed(starts, mayHaveArrived, context.now().plus(DIRECT_RETRY));
+            return;
+        }
+        session.directAnswered(starts);
+        if (sessions.get(session.machine().id()) == session) {
+            take(session, report, false);
+            enqueueWaiting();
+            act();
+        }
+    }
+
+    private static WorkerReport readReport(HttpOutcome outcome) {
+        if (outcome.status() != 200 && outcome.status() != 409) {
+            return null;
+        }
+        try {
+            return WorkerCodec.readReport(Json.parseFields(outcome.response().body()));
+        } catch (BadMessage e) {
+            LOG.info("unreadable answer of a worker: {}", e.getMessage());
+            return null;
+        }
+    }
+
+    /** Shows unfenced machines the present token: asks for the session, then sends a command that commands nothing. */
+    private void fence() {
+        SteadyTime now = context.now();
+        for (Session session : sessions.values()) {
+            if (session.state() == Session.State.UNFENCED && session.canSendDirect(now) && !superseded && context.isEntitled()) {
+                if (session.report() != null) {
+                    sendDirect(session, List.of());
+                    continue;
+                }
+                session.directSent(Set.of());
+                context.http().call(session.machine().address(), HttpRequest.get(WorkerCodec.STATUS), DIRECT_TIMEOUT,
+                        outcome -> directEnded(session, Set.of(), token(), outcome));
+            }
+        }
+    }
+
+    // ---- what others want to know ----
+
+    /** Completed tasks whose completion is not yet durable. */
+    public List<TaskId> completed() {
+        return inState(Placement.State.COMPLETED);
+    }
+
+    /** Tasks that are on no machine and go back to the pool. */
+    public List<TaskId> released() {
+        return inState(Placement.State.RELEASED);
+    }
+
+    private List<TaskId> inState(Placement.State state) {
+        List<TaskId> tasks = new ArrayList<>();
+        for (Placement placement : placements.values()) {
+            if (placement.state() == state) {
+                tasks.add(placement.task());
+            }
+        }
+        return tasks;
+    }
+
+    /** How many tasks of a job run here. */
+    public Map<JobId, Integer> running() {
+        Map<JobId, Integer> running = new HashMap<>();
+        for (Placement placement : placements.values()) {
+            if (placement.isRunning()) {
+                running.merge(placement.task().job(), 1, Integer::sum);
+            }
+        }
+        return running;
+    }
+
+    /** What is known of a machine, for the leader and for operators. */
+    public record MachineView(MachineId machine, Resources free, Span silent, boolean fenced, boolean notice,
+            boolean sick, int tasks, Set<String> images, int queued) {
+    }
+
+    public List<MachineView> machines() {
+        List<MachineView> views = new ArrayList<>();
+        SteadyTime now = context.now();
+        for (Session session : sessions.values()) {
+            MachineId id = session.machine().id();
+            int tasks = 0;
+            for (Placement placement : placements.values()) {
+                if (placement.isBound() && placement.machine().equals(id)
+                        || placement.state() == Placement.State.COMPLETED && placement.machine().equals(id)) {
+                    tasks++;
+                }
+            }
+            MachineQueue queue = scheduler.machine(id);
+            views.add(new MachineView(id, session.capacity().minus(used(session)), now.since(session.heard()),
+                    session.state() == Session.State.FENCED, session.hasNotice(), session.isSick(), tasks,
+                    Set.copyOf(session.images()), queue.waiting().size()));
+        }
+        return views;
+    }
+
+    public int waitingCount() {
+        return scheduler.waiting().size();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/quincecross/block/HolderContext.java
@@ -0,0 +1,32 @@
+package org.quincecross.block;
+
+import org.quincecross.model.Span;
+import org.quincecross.model.SteadyTime;
+import org.quincecross.net.HttpCaller;
+import org.quincecross.net.Timers;
+import org.quincecross.state.Ledger;
+import org.quincecross.wire.Settings;
+
+/** What every holder of this controller shares. */
+public interface HolderContext {
+    Timers timers();
+
+    HttpCaller http();
+
+    Ledger ledger();
+
+    Settings.Workers workers();
+
+    /** Whether the ledger is recent enough for this controller to give commands and renew leases. */
+    boolean isEntitled();
+
+    /** The longest that a former holder, cut off from the state service, goes on answering its machines. */
+    Span longestUnconfirmed();
+
+    /** Something has happened that the leader should hear of soon. */
+    void newsForLeader();
+
+    default SteadyTime now() {
+        return timers().now();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/quincecross/block/Placement.java
@@ -0,0 +1,179 @@
+package org.quincecross.block;
+
+import org.quincecross.model.Attempt;
+import org.quincecross.model.Job;
+import org.quincecross.model.MachineId;
+import org.quincecross.model.Span;
+import org.quincecross.model.SteadyTime;
+import org.quincecross.model.TaskId;
+
+/** Where a task that the block has stands. */
+final class Placement {
+    /** The states of a placement. */
+    enum State {
+        /** The former holder may have started it: it may not start before all machines are fenced or released. */
+        UNSETTLED,
+        /** On no machine, surely. */
+        WAITING,
+        /** Its start has been decided and may be under way. */
+        STARTING,
+        /** Its machine reports it. */
+        ACTIVE,
+        /** To be stopped, and not yet known to be gone. */
+        STOPPING,
+        /** Completed; its machine keeps the result until that is durable. */
+        COMPLETED,
+        /** On no machine, and given back: never to be started again under this allocation. */
+        RELEASED
+    }
+
+    private final TaskId task;
+    private final Job job;
+    private State state;
+    private SteadyTime since;
+    private MachineId machine;
+    private Attempt attempt = Attempt.NONE;
+    private Span grace = Span.ZERO;
+    private boolean giveBack;
+    private boolean told;
+    private long toldInAnswerTo;
+    private boolean running;
+    private SteadyTime runningSince;
+    private int failures;
+
+    Placement(TaskId task, Job job, State state, SteadyTime now) {
+        this.task = task;
+        this.job = job;
+        enter(state, now);
+    }
+
+    /** The one place where a placement changes its state. */
+    private void enter(State next, SteadyTime now) {
+        state = next;
+        since = now;
+        told = false;
+    }
+
+    TaskId task() {
+        return task;
+    }
+
+    Job job() {
+        return job;
+    }
+
+    State state() {
+        return state;
+    }
+
+    SteadyTime since() {
+        return since;
+    }
+
+    MachineId machine() {
+        return machine;
+    }
+
+    Attempt attempt() {
+        return attempt;
+    }
+
+    Span grace() {
+        return grace;
+    }
+
+    int failures() {
+        return failures;
+    }
+
+    /** Whether its machine has to count it. */
+    boolean isBound() {
+        return state == State.STARTING || state == State.ACTIVE || state == State.STOPPING;
+    }
+
+    boolean isBoundTo(MachineId where, Attempt which) {
+        return isBound() && machine.equals(where) && attempt.equals(which);
+    }
+
+    boolean isRunning() {
+        return running && (state == State.ACTIVE || state == State.STOPPING);
+    }
+
+    SteadyTime runningSince() {
+        return runningSince;
+    }
+
+    void start(MachineId where, Attempt which, SteadyTime now) {
+        machine = where;
+        attempt = which;
+        running = false;
+        enter(State.STARTING, now);
+    }
+
+    /** A machine reports the task: one that this holder started, or one that the former holder did. */
+    void reported(MachineId where, Attempt which, boolean runs, SteadyTime now) {
+        machine = where;
+        attempt = which;
+        if (runs && !running) {
+            runningSince = now;
+        }
+        running = runs;
+        if (state != State.ACTIVE && state != State.STOPPING) {
+            enter(State.ACTIVE, now);
+        }
+    }
+
+    /** Has the task stopped; {@code back}: it then returns to the pool rather than to a queue of the block. */
+    void stop(Span saveTime, boolean back, SteadyTime now) {
+        giveBack |= back;
+        if (state == State.STOPPING) {
+            if (saveTime.nanos() < grace.nanos()) {
+                grace = saveTime;
+                told = false;
+            }
+            return;
+        }
+        grace = saveTime;
+        enter(State.STOPPING, now);
+    }
+
+    void completed(MachineId where, Attempt which, SteadyTime now) {
+        machine = where;
+        attempt = which;
+        enter(State.COMPLETED, now);
+    }
+
+    /** The task is surely on no machine. */
+    void gone(SteadyTime now) {
+        machine = null;
+        running = false;
+        enter(giveBack ? State.RELEASED : State.WAITING, now);
+    }
+
+    void release(SteadyTime now) {
+        enter(State.RELEASED, now);
+    }
+
+    void failed() {
+        failures++;
+    }
+
+    /** Whether the machine has been told of the present state. */
+    boolean isTold() {
+        return told;
+    }
+
+    void tell(long answerTo) {
+        told = true;
+        toldInAnswerTo = Math.max(toldInAnswerTo, answerTo);
+    }
+
+    void untell() {
+        told = false;
+    }
+
+    /** The order of the last report that was answered with a command for this task. */
+    long toldInAnswerTo() {
+        return toldInAnswerTo;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/quincecross/block/Session.java
@@ -0,0 +1,167 @@
+package org.quincecross.block;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+import org.quincecross.model.Attempt;
+import org.quincecross.model.JobId;
+import org.quincecross.model.Machine;
+import org.quincecross.model.Resources;
+import org.quincecross.model.Span;
+import org.quincecross.model.SteadyTime;
+import org.quincecross.wire.WorkerReport;
+
+/** What the holder knows of one machine of its block. */
+final class Session {
+    /** The states of a session. */
+    enum State {
+        /** It may still obey the former holder. */
+        UNFENCED,
+        /** It has shown the block's token: it obeys this holder alone, and its report is complete. */
+        FENCED,
+        /** Its lease has surely run out: nothing runs there until it reports again. */
+        LOST
+    }
+
+    private final Machine machine;
+    private final Resources capacity;
+    private final double cacheGb;
+    private final Map<String, Double> images = new LinkedHashMap<>(16, 0.75f, true);
+    private final Map<JobId, Integer> failures = new HashMap<>();
+    private final Set<Attempt> startsInFlight = new HashSet<>();
+    private final Set<Attempt> startsUnanswered = new HashSet<>();
+    private State state = State.UNFENCED;
+    private WorkerReport report;
+    private SteadyTime heard;
+    private SteadyTime leaseFrom;
+    private SteadyTime directAfter;
+    private boolean directRunning;
+    private boolean sick;
+
+    /** {@code leaseFrom}: nobody can have renewed the machine's lease later than this, as far as is known now. */
+    Session(Machine machine, Resources capacity, double cacheGb, SteadyTime now, SteadyTime leaseFrom) {
+        this.machine = machine;
+        this.capacity = capacity;
+        this.cacheGb = cacheGb;
+        this.leaseFrom = leaseFrom;
+        this.heard = now;
+        this.directAfter = now;
+    }
+
+    /** The one place where a session changes its state. */
+    void enter(State next) {
+        if (next == State.FENCED) {
+            // Whatever was sent with a former token is refused from here on.
+            startsUnanswered.clear();
+        }
+        state = next;
+    }
+
+    Machine machine() {
+        return machine;
+    }
+
+    Resources capacity() {
+        return capacity;
+    }
+
+    State state() {
+        return state;
+    }
+
+    WorkerReport report() {
+        return report;
+    }
+
+    /** Takes a report that is newer than those before. */
+    void take(WorkerReport next) {
+        if (report != null && report.session() != next.session()) {
+            startsUnanswered.clear();
+            startsInFlight.clear();
+        }
+        report = next;
+    }
+
+    void hear(SteadyTime now) {
+        heard = now;
+    }
+
+    SteadyTime heard() {
+        return heard;
+    }
+
+    /** A report was answered: the machine's lease may run from now. */
+    void answered(SteadyTime now) {
+        if (leaseFrom.isBefore(now)) {
+            leaseFrom = now;
+        }
+    }
+
+    boolean leaseIsOver(Span leaseAtMost, SteadyTime now) {
+        return now.since(leaseFrom).isMoreThan(leaseAtMost);
+    }
+
+    boolean hasNotice() {
+        return report != null && report.notice() != null;
+    }
+
+    boolean isSick() {
+        return sick;
+    }
+
+    void markSick() {
+        sick = true;
+    }
+
+    Map<JobId, Integer> failures() {
+        return failures;
+    }
+
+    boolean hasImage(String image) {
+        return images.containsKey(image);
+    }
+
+    Set<String> images() {
+        return images.keySet();
+    }
+
+    /** A task has its image here, so the machine has it: until more recently used ones crowd it out. */
+    void usedImage(String image, double gb) {
+        images.put(image, gb);
+        double sum = images.values().stream().mapToDouble(Double::doubleValue).sum();
+        for (Iterator<Map.Entry<String, Double>> i = images.entrySet().iterator(); i.hasNext() && sum > cacheGb; ) {
+            sum -= i.next().getValue();
+            i.remove();
+        }
+    }
+
+    /** Whether a start of this attempt may yet be executed: then its report must not be cleared, or it starts anew. */
+    boolean mayStillStart(Attempt attempt) {
+        return startsInFlight.contains(attempt) || startsUnanswered.contains(attempt);
+    }
+
+    boolean canSendDirect(SteadyTime now) {
+        return !directRunning && !now.isBefore(directAfter);
+    }
+
+    void directSent(Set<Attempt> starts) {
+        directRunning = true;
+        startsInFlight.addAll(starts);
+    }
+
+    void directAnswered(Set<Attempt> starts) {
+        directRunning = false;
+        startsInFlight.removeAll(starts);
+    }
+
+    void directFailed(Set<Attempt> starts, boolean mayHaveArrived, SteadyTime retryAt) {
+        directAnswered(starts);
+        if (mayHaveArrived) {
+            startsUnanswered.addAll(starts);
+        }
+        directAfter = retryAt;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/quincecross/http/HttpParser.java
@@ -0,0 +1,283 @@
+package org.quincecross.http;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+
+/**
+ * Reads one side of a connection, in pieces of any size. One message at a time: after {@link Phase#COMPLETE} the
+ * caller takes the message and calls {@link #next()}; bytes not yet read stay in the caller's buffer.
+ */
+public final class HttpParser {
+    /** What is read: the requests of a client or the responses of a server. */
+    public enum Role { REQUESTS, RESPONSES }
+
+    /** Where in a message the parser is. */
+    public enum Phase { START_LINE, HEADERS, BODY, CHUNK_SIZE, CHUNK_DATA, CHUNK_END, TRAILERS, UNTIL_CLOSE, COMPLETE, FAILED }
+
+    private static final int MOST_HEAD = 16 * 1024;
+
+    private final Role role;
+    private final int mostBody;
+    private final ByteArrayOutputStream line = new ByteArrayOutputStream(128);
+
+    private Phase phase = Phase.START_LINE;
+    private int headBytes;
+    private ByteArrayOutputStream body = new ByteArrayOutputStream(0);
+    private long left;
+    private String method;
+    private String target;
+    private int status;
+    private boolean oldVersion;
+    private boolean close;
+    private boolean chunked;
+    private long length;
+    private int failure;
+
+    public HttpParser(Role role, int mostBody) {
+        this.role = role;
+        this.mostBody = mostBody;
+    }
+
+    /** The one place where the parser changes its phase. */
+    private void enter(Phase next) {
+        phase = next;
+    }
+
+    private Phase fail(int code) {
+        failure = code;
+        enter(Phase.FAILED);
+        return phase;
+    }
+
+    public Phase phase() {
+        return phase;
+    }
+
+    /** Whether some of a message has come, but not all. */
+    public boolean isMidMessage() {
+        return phase != Phase.COMPLETE && phase != Phase.FAILED && (phase != Phase.START_LINE || headBytes > 0);
+    }
+
+    /** The status that tells the other side what was wrong. */
+    public int failure() {
+        return failure;
+    }
+
+    public HttpRequest request() {
+        return new HttpRequest(method, target, body.toByteArray(), close);
+    }
+
+    public HttpResponse response() {
+        return new HttpResponse(status, body.toByteArray(), 0, close);
+    }
+
+    /** Gets ready for the message after a complete one. */
+    public void next() {
+        enter(Phase.START_LINE);
+        line.reset();
+        headBytes = 0;
+        body = new ByteArrayOutputStream(0);
+    }
+
+    /** The connection has ended: a body that runs to the end is complete, anything else in the middle has failed. */
+    public Phase end() {
+        if (phase == Phase.UNTIL_CLOSE) {
+            close = true;
+            enter(Phase.COMPLETE);
+        } else if (isMidMessage()) {
+            fail(400);
+        }
+        return phase;
+    }
+
+    /** Reads until the buffer is empty or a message is complete. */
+    public Phase feed(ByteBuffer in) {
+        while (phase != Phase.COMPLETE && phase != Phase.FAILED && in.hasRemaining()) {
+            switch (phase) {
+                case START_LINE, HEADERS, CHUNK_SIZE, CHUNK_END, TRAILERS -> readLine(in);
+                case BODY, CHUNK_DATA, UNTIL_CLOSE -> readBody(in);
+                default -> throw new IllegalStateException(phase.toString());
+            }
+        }
+        return phase;
+    }
+
+    private void readBody(ByteBuffer in) {
+        int n = (int) Math.min(in.remaining(), phase == Phase.UNTIL_CLOSE ? Integer.MAX_VALUE : left);
+        if (body.size() + (long) n > mostBody) {
+            fail(413);
+            return;
+        }
+        byte[] piece = new byte[n];
+        in.get(piece);
+        body.write(piece, 0, n);
+        if (phase == Phase.UNTIL_CLOSE) {
+            return;
+        }
+        left -= n;
+        if (left == 0) {
+            enter(phase == Phase.BODY ? Phase.COMPLETE : Phase.CHUNK_END);
+        }
+    }
+
+    private void readLine(ByteBuffer in) {
+        while (in.hasRemaining()) {
+            byte b = in.get();
+            if (++headBytes > MOST_HEAD) {
+                fail(431);
+                return;
+            }
+            if (b == '\n') {
+                byte[] bytes = line.toByteArray();
+                line.reset();
+                int end = bytes.length > 0 && bytes[bytes.length - 1] == '\r' ? bytes.length - 1 : bytes.length;
+                takeLine(new String(bytes, 0, end, StandardCharsets.ISO_8859_1));
+                return;
+            }
+            line.write(b);
+        }
+    }
+
+    private void takeLine(String text) {
+        switch (phase) {
+            case START_LINE -> {
+                if (text.isEmpty() && headBytes <= 4) {
+                    return; // a stray line end between messages is allowed for
+                }
+                startLine(text);
+            }
+            case HEADERS -> {
+                if (text.isEmpty()) {
+                    headDone();
+                } else {
+                    header(text);
+                }
+            }
+            case CHUNK_SIZE -> chunkSize(text);
+            case CHUNK_END -> {
+                if (text.isEmpty()) {
+                    headBytes = 0;
+                    enter(Phase.CHUNK_SIZE);
+                } else {
+                    fail(400);
+                }
+            }
+            case TRAILERS -> {
+                if (text.isEmpty()) {
+                    enter(Phase.COMPLETE);
+                }
+            }
+            default -> throw new IllegalStateException(phase.toString());
+        }
+    }
+
+    private void startLine(String text) {
+        close = false;
+        chunked = false;
+        length = -1;
+        String[] parts = text.split(" ", role == Role.REQUESTS ? -1 : 3);
+        String version;
+        if (role == Role.REQUESTS) {
+            if (parts.length != 3 || !isToken(parts[0]) || !parts[1].startsWith("/")) {
+                fail(400);
+                return;
+            }
+            method = parts[0];
+            target = parts[1];
+            version = parts[2];
+        } else {
+            if (parts.length < 2 || parts[1].length() != 3 || !isDigits(parts[1])) {
+                fail(400);
+                return;
+            }
+            status = Integer.parseInt(parts[1]);
+            version = parts[0];
+        }
+        if (!version.equals("HTTP/1.1") && !version.equals("HTTP/1.0")) {
+            fail(400);
+            return;
+        }
+        oldVersion = version.equals("HTTP/1.0");
+        close = oldVersion;
+        enter(Phase.HEADERS);
+    }
+
+    private void header(String text) {
+        int colon = text.indexOf(':');
+        if (colon < 1 || !isToken(text.substring(0, colon))) {
+            fail(400);
+            return;
+        }
+        String value = text.substring(colon + 1).strip().toLowerCase(Locale.ROOT);
+        switch (text.substring(0, colon).toLowerCase(Locale.ROOT)) {
+            case "content-length" -> {
+                if (value.isEmpty() || value.length() > 12 || !isDigits(value)
+                        || length >= 0 && length != Long.parseLong(value)) {
+                    fail(400);
+                } else {
+                    length = Long.parseLong(value);
+                }
+            }
+            case "transfer-encoding" -> {
+                if (value.equals("chunked") && !chunked) {
+                    chunked = true;
+                } else {
+                    fail(400);
+                }
+            }
+            case "connection" -> {
+                if (value.contains("close")) {
+                    close = true;
+                } else if (oldVersion && value.contains("keep-alive")) {
+                    close = false;
+                }
+            }
+            default -> { }
+        }
+    }
+
+    private void headDone() {
+        if (chunked && length >= 0) {
+            fail(400); // two framings at once: what one reader takes for a body another takes for a request
+        } else if (role == Role.RESPONSES && status < 200) {
+            next();
+        } else if (chunked) {
+            headBytes = 0;
+            enter(Phase.CHUNK_SIZE);
+        } else if (length > mostBody) {
+            fail(413);
+        } else if (length > 0) {
+            left = length;
+            enter(Phase.BODY);
+        } else if (length == 0 || role == Role.REQUESTS || status == 204 || status == 304) {
+            enter(Phase.COMPLETE);
+        } else {
+            enter(Phase.UNTIL_CLOSE);
+        }
+    }
+
+    private void chunkSize(String text) {
+        int semicolon = text.indexOf(';');
+        String digits = (semicolon < 0 ? text : text.substring(0, semicolon)).strip();
+        if (digits.isEmpty() || digits.length() > 7 || !digits.chars().allMatch(c -> Character.digit(c, 16) >= 0 && c < 128)) {
+            fail(400);
+            return;
+        }
+        left = Long.parseLong(digits, 16);
+        if (body.size() + left > mostBody) {
+            fail(413);
+        } else {
+            enter(left == 0 ? Phase.TRAILERS : Phase.CHUNK_DATA);
+        }
+    }
+
+    private static boolean isDigits(String text) {
+        return text.chars().allMatch(c -> c >= '0' && c <= '9');
+    }
+
+    private static boolean isToken(String text) {
+        return !text.isEmpty() && text.chars().allMatch(c -> c > ' ' && c < 127 && "()<>@,;:\\\"/[]?={}".indexOf(c) < 0);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/quincecross/leader/Fleet.java
@@ -0,0 +1,433 @@
+package org.quincecross.leader;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Supplier;
+import org.quincecross.model.BlockId;
+import org.quincecross.model.Incarnation;
+import org.quincecross.model.Job;
+import org.quincecross.model.MachineId;
+import org.quincecross.model.MachineType;
+import org.quincecross.model.Resources;
+import org.quincecross.model.Shape;
+import org.quincecross.model.Span;
+import org.quincecross.model.SteadyTime;
+import org.quincecross.net.HttpCaller;
+import org.quincecross.net.Timers;
+import org.quincecross.peer.PeerReport;
+import org.quincecross.sched.Admission;
+import org.quincecross.state.JobRecord;
+import org.quincecross.state.Ledger;
+import org.quincecross.wire.CloudCodec;
+import org.quincecross.wire.Settings;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Rents machines for work that has no room and returns those that are idle, silent or sick. For the leader alone. */
+public final class Fleet {
+    private static final Logger LOG = LoggerFactory.getLogger(Fleet.class);
+    private static final Span TICK = Span.ofMillis(500);
+    private static final Span CATALOG_EVERY = Span.ofSeconds(60);
+    private static final Span LIST_EVERY = Span.ofSeconds(4);
+    private static final Span IDLE_FOR = Span.ofSeconds(45);
+    private static final Span REFUSED_FOR = Span.ofSeconds(15);
+    private static final int MOST_AT_ONCE = 6;
+    private static final int MOST_RETURNED_AT_ONCE = 50;
+
+    /** What the holders say of their machines, and which machines report to the wrong controller. */
+    public record View(Map<MachineId, PeerReport.MachineState> machines, Set<MachineId> strays) {
+    }
+
+    /** A kind of machine in a place. */
+    private record Kind(String type, String zone, boolean spot) {
+    }
+
+    private record Booting(Kind kind, SteadyTime since) {
+    }
+
+    private final Timers timers;
+    private final CloudClient cloud;
+    private final Ledger ledger;
+    private final Settings settings;
+    private final Supplier<Incarnation> life;
+    private final Map<String, MachineType> catalog = new TreeMap<>();
+    private final Map<MachineId, CloudCodec.Listed> listed = new TreeMap<>();
+    private final Map<MachineId, Booting> booting = new LinkedHashMap<>();
+    private final Map<MachineId, SteadyTime> idleSince = new HashMap<>();
+    private final Map<Kind, SteadyTime> refusedUntil = new HashMap<>();
+    private final Set<MachineId> wanted = new HashSet<>();
+    private final Set<MachineId> gone = new HashSet<>();
+    private List<Admission.Unmet> unmet = List.of();
+    private Supplier<View> view;
+    private SteadyTime catalogAfter;
+    private SteadyTime listAfter;
+    private SteadyTime rentAfter;
+    private SteadyTime returnAfter;
+    private boolean leading;
+    private boolean renting;
+    private boolean returning;
+    private boolean listing;
+    private long requests;
+
+    public Fleet(Timers timers, HttpCaller http, Ledger ledger, Settings settings, Supplier<Incarnation> life) {
+        this.timers = timers;
+        this.cloud = new CloudClient(timers, http, settings.cloud(), settings.cloudLimits().requestsPerS());
+        this.ledger = ledger;
+        this.settings = settings;
+        this.life = life;
+        SteadyTime now = timers.now();
+        catalogAfter = now;
+        listAfter = now;
+        rentAfter = now;
+        returnAfter = now;
+    }
+
+    public void start() {
+        timers.every(TICK, this::tick);
+    }
+
+    /** Called again and again while this controller leads. */
+    void lead(Supplier<View> views) {
+        if (!leading) {
+            leading = true;
+            booting.clear();
+            idleSince.clear();
+            wanted.clear();
+            rentAfter = timers.now().plus(Span.ofSeconds(3)); // first hear what there is
+        }
+        view = views;
+    }
+
+    void stop() {
+        leading = false;
+    }
+
+    /** The machine types that the cloud offers, empty before it was asked. */
+    Collection<MachineType> catalog() {
+        return catalog.values();
+    }
+
+    /** Whether a machine is proven gone, and all that was on it. */
+    boolean isGone(MachineId machine) {
+        return gone.contains(machine);
+    }
+
+    /** Whether a machine is to go back and should be given no more work. */
+    boolean wantsBack(MachineId machine) {
+        return wanted.contains(machine);
+    }
+
+    void unmet(List<Admission.Unmet> now) {
+        unmet = now;
+    }
+
+    /** The most that an open task with GPUs takes of a machine of this type. */
+    Resources largestGpuTask(MachineType type, Iterable<JobRecord> jobs) {
+        Resources most = Resources.NONE;
+        for (JobRecord record : jobs) {
+            Job job = record.job();
+            if (job.each().gpus() > 0 && job.each().fitsIn(type.capacity())
+                    && (job.types() == null || job.types().contains(type.name()))) {
+                most = new Resources(Math.max(most.cpus(), job.each().cpus()), Math.max(most.gpus(), job.each().gpus()),
+                        Math.max(most.memoryGb(), job.each().memoryGb()));
+            }
+        }
+        return most;
+    }
+
+    private void tick() {
+        if (!leading || view == null) {
+            return;
+        }
+        SteadyTime now = timers.now();
+        refreshCatalog(now);
+        refreshList(now);
+        View current = view.get();
+        booting.keySet().removeIf(machine -> ledger.blockOf(machine) != null || gone.contains(machine));
+        Set<MachineId> back = returnable(current, now);
+        giveBack(back, now);
+        rent(now);
+    }
+
+    private void refreshCatalog(SteadyTime now) {
+        if (now.isBefore(catalogAfter) || !cloud.take()) {
+            return;
+        }
+        catalogAfter = now.plus(cloud.backOff());
+        cloud.catalog(types -> {
+            if (types != null) {
+                catalogAfter = timers.now().plus(CATALOG_EVERY);
+                types.forEach(type -> catalog.put(type.name(), type));
+            }
+        });
+    }
+
+    private void refreshList(SteadyTime now) {
+        if (listing || now.isBefore(listAfter) || !cloud.take()) {
+            return;
+        }
+        listing = true;
+        readPage(null, new TreeMap<>());
+    }
+
+    private void readPage(MachineId after, Map<MachineId, CloudCodec.Listed> all) {
+        cloud.list(after, page -> {
+            listAfter = timers.now().plus(LIST_EVERY);
+            listing = false;
+            if (page == null) {
+                return;
+            }
+            MachineId last = after;
+            for (CloudCodec.Listed machine : page.machines()) {
+                all.put(machine.machine().id(), machine);
+                last = machine.machine().id();
+            }
+            if (page.more() && last != null) {
+                listing = true;
+                readPage(last, all);
+                return;
+            }
+            listed.clear();
+            listed.putAll(all);
+            SteadyTime now = timers.now();
+            for (CloudCodec.Listed machine : all.values()) {
+                if (machine.status() == CloudCodec.Status.BOOTING && ledger.blockOf(machine.machine().id()) == null
+                        && !gone.contains(machine.machine().id())) {
+                    Kind kind = new Kind(machine.machine().type(), machine.machine().zone(), machine.machine().spot());
+                    booting.computeIfAbsent(machine.machine().id(),
+                            id -> new Booting(kind, new SteadyTime(now.nanos() - machine.age().nanos())));
+                }
+            }
+        });
+    }
+
+    // ---- returning ----
+
+    private Set<MachineId> returnable(View current, SteadyTime now) {
+        Set<MachineId> back = new HashSet<>();
+        markIdle(current, now);
+        List<MachineId> silent = new ArrayList<>();
+        Span silence = settings.workers().report().times(2.5).plus(Span.ofSeconds(3));
+        for (Map.Entry<MachineId, PeerReport.MachineState> entry : current.machines().entrySet()) {
+            PeerReport.MachineState state = entry.getValue();
+            if (state.sick()) {
+                wanted.add(entry.getKey());
+            }
+            boolean leaving = ledger.blockOf(entry.getKey()) != null
+                    && ledger.blockOf(entry.getKey()).leaving().contains(entry.getKey());
+            if (leaving && state.fenced() && state.tasks() == 0) {
+                back.add(entry.getKey());
+            }
+            if (state.silent().isMoreThan(silence) && !current.strays().contains(entry.getKey())) {
+                silent.add(entry.getKey());
+            }
+        }
+        // A few silent machines are dead or cut off, and returning them proves their tasks gone. Many at once are more
+        // likely a trouble between here and there, which passes.
+        if (silent.size() <= Math.max(2, current.machines().size() / 5)) {
+            back.addAll(silent);
+        }
+        for (CloudCodec.Listed machine : listed.values()) {
+            MachineId id = machine.machine().id();
+            MachineType type = ledger.types().get(machine.machine().type());
+            double boot = type == null ? 60 : type.boot().seconds();
+            boolean stuck = ledger.blockOf(id) == null && machine.age().seconds() > 5 * boot + 60;
+            if (machine.status() == CloudCodec.Status.FAILED || stuck) {
+                back.add(id);
+            }
+        }
+        back.removeAll(gone);
+        return back;
+    }
+
+    /** Marks machines that have had nothing to do for a while, as long as nothing waits for room. */
+    private void markIdle(View current, SteadyTime now) {
+        idleSince.keySet().retainAll(current.machines().keySet());
+        for (Map.Entry<MachineId, PeerReport.MachineState> entry : current.machines().entrySet()) {
+            boolean idle = entry.getValue().fenced() && entry.getValue().tasks() == 0 && entry.getValue().queued() == 0;
+            if (!idle) {
+                idleSince.remove(entry.getKey());
+                continue;
+            }
+            SteadyTime since = idleSince.computeIfAbsent(entry.getKey(), id -> now);
+            if (now.since(since).isMoreThan(IDLE_FOR) && unmet.isEmpty() && booting.isEmpty() && isSpare(entry.getKey(), current)) {
+                wanted.add(entry.getKey());
+            }
+        }
+    }
+
+    /** Whether another idle machine of the same kind stays. */
+    private boolean isSpare(MachineId machine, View current) {
+        BlockId block = ledger.blockOf(machine) == null ? null : ledger.blockOf(machine).id();
+        if (block == null) {
+            return false;
+        }
+        String type = ledger.blocks().get(block).type();
+        for (MachineId other : idleSince.keySet()) {
+            if (!other.equals(machine) && !wanted.contains(other) && current.machines().containsKey(other)
+                    && ledger.blockOf(other) != null && ledger.blockOf(other).type().equals(type)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private void giveBack(Set<MachineId> back, SteadyTime now) {
+        if (back.isEmpty() || returning || now.isBefore(returnAfter) || !cloud.take()) {
+            return;
+        }
+        List<MachineId> some = back.stream().sorted().limit(MOST_RETURNED_AT_ONCE).toList();
+        returning = true;
+        LOG.info("returning {}", some);
+        cloud.giveBack(some, done -> {
+            returning = false;
+            if (done) {
+                gone.addAll(some);
+            } else {
+                returnAfter = timers.now().plus(cloud.backOff());
+            }
+        });
+    }
+
+    // ---- renting ----
+
+    private void rent(SteadyTime now) {
+        if (renting || now.isBefore(rentAfter) || unmet.isEmpty() || catalog.isEmpty()) {
+            return;
+        }
+        Map<Kind, Integer> wishes = wishes(now);
+        if (wishes.isEmpty() || !cloud.take()) {
+            return;
+        }
+        Map.Entry<Kind, Integer> wish = wishes.entrySet().iterator().next();
+        Kind kind = wish.getKey();
+        int count = Math.min(wish.getValue(), MOST_AT_ONCE);
+        String request = settings.member() + "-" + life.get() + "-" + ++requests;
+        renting = true;
+        cloud.rent(request, kind.type(), kind.zone(), kind.spot(), count, rented -> {
+            renting = false;
+            LOG.info("rented {} of {} {} {} {}: {}", rented.machines().size(), count, kind.type(), kind.zone(),
+                    kind.spot() ? "spot" : "ordinary", rented.machines());
+            for (MachineId machine : rented.machines()) {
+                booting.put(machine, new Booting(kind, timers.now()));
+            }
+            if (rented.machines().size() < count) {
+                refusedUntil.put(kind, timers.now().plus(REFUSED_FOR));
+            }
+            if (rented.machines().isEmpty() && !rented.noCapacity()) {
+                rentAfter = timers.now().plus(cloud.backOff());
+            }
+        });
+    }
+
+    /** How many machines of which kind would give room to what has none, beyond those that are booting. */
+    private Map<Kind, Integer> wishes(SteadyTime now) {
+        List<Bin> bins = new ArrayList<>();
+        for (Booting machine : booting.values()) {
+            MachineType type = ledger.types().get(machine.kind().type());
+            if (type != null) {
+                bins.add(new Bin(machine.kind(), type.capacity()));
+            }
+        }
+        Map<Kind, Integer> wishes = new LinkedHashMap<>();
+        for (Admission.Unmet need : unmet) {
+            int left = need.job().shape() == Shape.ARRAY ? (need.tasks() + 1) / 2 : need.tasks();
+            for (Bin bin : bins) {
+                left -= bin.fill(need.job(), left);
+            }
+            while (left > 0 && wishes.size() < 8) {
+                Kind kind = choose(need, wishes, now);
+                if (kind == null) {
+                    break;
+                }
+                Bin bin = new Bin(kind, catalog.get(kind.type()).capacity());
+                int filled = bin.fill(need.job(), left);
+                if (filled == 0) {
+                    break;
+                }
+                left -= filled;
+                bins.add(bin);
+                wishes.merge(kind, 1, Integer::sum);
+                if (wishes.get(kind) >= 50) {
+                    break;
+                }
+            }
+        }
+        return wishes;
+    }
+
+    /** A machine to come, and what of it is spoken for. */
+    private static final class Bin {
+        private final Kind kind;
+        private Resources free;
+
+        Bin(Kind kind, Resources free) {
+            this.kind = kind;
+            this.free = free;
+        }
+
+        int fill(Job job, int most) {
+            if (!job.allows(kind.type(), kind.zone(), kind.spot())) {
+                return 0;
+            }
+            int n = Math.min(most, free.count(job.each()));
+            free = free.minus(job.each().times(n));
+            return n;
+        }
+    }
+
+    /** The cheapest kind for a job, a task at a time; among zones that have been refused last, another one. */
+    private Kind choose(Admission.Unmet need, Map<Kind, Integer> wishes, SteadyTime now) {
+        Job job = need.job();
+        Kind best = null;
+        double bestCost = Double.MAX_VALUE;
+        for (MachineType type : catalog.values()) {
+            int slots = type.capacity().count(job.each());
+            if (slots == 0) {
+                continue;
+            }
+            for (String zone : type.zones()) {
+                for (boolean spot : new boolean[] {true, false}) {
+                    Kind kind = new Kind(type.name(), zone, spot);
+                    SteadyTime refused = refusedUntil.get(kind);
+                    if (!job.allows(type.name(), zone, spot) || refused != null && now.isBefore(refused)
+                            || job.spread() && need.perZone().getOrDefault(zone, 0) >= job.mostInOneZone()
+                            || job.oneZone() && !need.perZone().isEmpty() && !need.perZone().containsKey(zone)) {
+                        continue;
+                    }
+                    double cost = (spot ? type.spotPrice() : type.price()) / Math.min(slots, need.tasks())
+                            * (1 + 0.02 * machinesOf(kind) + 0.02 * wishes.getOrDefault(kind, 0));
+                    if (cost < bestCost) {
+                        bestCost = cost;
+                        best = kind;
+                    }
+                }
+            }
+        }
+        return best;
+    }
+
+    private int machinesOf(Kind kind) {
+        int count = 0;
+        for (var block : ledger.blocks().values()) {
+            if (block.type().equals(kind.type()) && block.zone().equals(kind.zone()) && block.spot() == kind.spot()) {
+                count += block.machines().size();
+            }
+        }
+        for (Booting machine : booting.values()) {
+            count += machine.kind().equals(kind) ? 1 : 0;
+        }
+        return count;
+    }
+
+    public int bootingCount() {
+        return booting.size();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/quincecross/leader/TxnPlan.java
@@ -0,0 +1,77 @@
+package org.quincecross.leader;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.quincecross.model.Revision;
+import org.quincecross.state.Ledger;
+import org.quincecross.wire.Json;
+import org.quincecross.wire.StateCodec.Change;
+import org.quincecross.wire.StateCodec.Guard;
+
+/** A transaction being put together: every changed key is guarded by its version, and the limits are kept. */
+final class TxnPlan {
+    /** What a transaction may hold overall, less room for its guards. */
+    private static final int MOST_BYTES = 40 * 1024;
+
+    private final Ledger ledger;
+    private final int mostChanges;
+    private final int mostValue;
+    private final List<Guard> guards = new ArrayList<>();
+    private final List<Change> changes = new ArrayList<>();
+    private int bytes;
+
+    TxnPlan(Ledger ledger, int mostChanges, int mostValue) {
+        this.ledger = ledger;
+        this.mostChanges = mostChanges;
+        this.mostValue = mostValue;
+    }
+
+    void guard(String key) {
+        Revision version = ledger.version(key);
+        guards.add(new Guard(key, version));
+    }
+
+    int room() {
+        return mostChanges - changes.size();
+    }
+
+    boolean isEmpty() {
+        return changes.isEmpty();
+    }
+
+    /** Whether a value is small enough for the state service. */
+    boolean fits(Map<String, Object> value) {
+        return Json.write(value).length <= mostValue;
+    }
+
+    /** Adds a put; false if the transaction is full. */
+    boolean put(String key, Map<String, Object> value) {
+        int size = Json.write(value).length + key.length() + 64;
+        if (room() < 1 || bytes + size > MOST_BYTES) {
+            return false;
+        }
+        bytes += size;
+        guard(key);
+        changes.add(Change.put(key, value));
+        return true;
+    }
+
+    /** Adds a delete; false if the transaction is full. */
+    boolean delete(String key) {
+        if (room() < 1) {
+            return false;
+        }
+        guard(key);
+        changes.add(Change.delete(key));
+        return true;
+    }
+
+    List<Guard> guards() {
+        return guards;
+    }
+
+    List<Change> changes() {
+        return changes;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/quincecross/leader/package-info.java
@@ -0,0 +1,2 @@
+/** What the leading controller does: block leases, admission, results, and the fleet of machines. */
+package org.quincecross.leader;
--- /dev/null
+++ b/src/main/java/org/quincecross/model/BlockId.java
@@ -0,0 +1,14 @@
+package org.quincecross.model;
+
+/** A block of machines: leased to one controller at a time. */
+public record BlockId(String text) implements Comparable<BlockId> {
+    @Override
+    public int compareTo(BlockId other) {
+        return text.compareTo(other.text);
+    }
+
+    @Override
+    public String toString() {
+        return text;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/quincecross/model/JobId.java
@@ -0,0 +1,36 @@
+package org.quincecross.model;
+
+/** The id that a user gives a job: the word {@code job-} and one to twenty digits. */
+public record JobId(String text) implements Comparable<JobId> {
+    private static final String PREFIX = "job-";
+    private static final int MOST_DIGITS = 20;
+
+    /** The id in {@code text}, or null when the text does not have the form of one. */
+    public static JobId parse(String text) {
+        int digits = text.length() - PREFIX.length();
+        if (!text.startsWith(PREFIX) || digits < 1 || digits > MOST_DIGITS) {
+            return null;
+        }
+        for (int i = PREFIX.length(); i < text.length(); i++) {
+            char c = text.charAt(i);
+            if (c < '0' || c > '9') {
+                return null;
+            }
+        }
+        return new JobId(text);
+    }
+
+    public TaskId task(int index) {
+        return new TaskId(this, index);
+    }
+
+    @Override
+    public int compareTo(JobId other) {
+        return text.compareTo(other.text);
+    }
+
+    @Override
+    public String toString() {
+        return text;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/quincecross/model/MemberId.java
@@ -0,0 +1,14 @@
+package org.quincecross.model;
+
+/** A controller, by the name its settings give it. */
+public record MemberId(String text) implements Comparable<MemberId> {
+    @Override
+    public int compareTo(MemberId other) {
+        return text.compareTo(other.text);
+    }
+
+    @Override
+    public String toString() {
+        return text;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/quincecross/net/FrameSender.java
@@ -0,0 +1,84 @@
+package org.quincecross.net;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
+import org.quincecross.model.Endpoint;
+import org.quincecross.model.Span;
+
+/**
+ * Sends frames, each with its length before it, on a connection that is made anew when it breaks. A frame that cannot
+ * go out now is dropped: what is sent this way is sent again.
+ */
+public final class FrameSender {
+    private static final Span RETRY = Span.ofMillis(400);
+    private static final Span CONNECT_TIMEOUT = Span.ofSeconds(2);
+
+    private final Loop loop;
+    private final Endpoint to;
+    private Connection connection;
+    private boolean waiting;
+
+    public FrameSender(Loop loop, Endpoint to) {
+        this.loop = loop;
+        this.to = to;
+    }
+
+    public void send(byte[] frame) {
+        if (connection == null && !waiting) {
+            connect();
+        }
+        if (connection != null && connection.state() == Connection.State.OPEN) {
+            if (connection.unsentBytes() > FrameServer.MOST_FRAME) {
+                dropConnection(); // the other side takes nothing any more
+                return;
+            }
+            connection.send(ByteBuffer.allocate(4 + frame.length).putInt(frame.length).put(frame).array());
+        }
+    }
+
+    private void connect() {
+        try {
+            SocketChannel socket = SocketChannel.open();
+            socket.configureBlocking(false);
+            socket.setOption(StandardSocketOptions.TCP_NODELAY, true);
+            boolean connected;
+            try {
+                connected = socket.connect(new InetSocketAddress(to.host(), to.port()));
+            } catch (IOException e) {
+                socket.close();
+                throw e;
+            }
+            Connection made = new Connection(loop, socket, new Connection.Sink() {
+                @Override
+                public void received(ByteBuffer bytes) {
+                    // nothing is said on this side of the link
+                }
+
+                @Override
+                public void closed() {
+                    dropConnection();
+                }
+            }, connected);
+            connection = made;
+            loop.after(CONNECT_TIMEOUT, () -> {
+                if (connection == made && made.state() == Connection.State.CONNECTING) {
+                    dropConnection();
+                }
+            });
+        } catch (IOException e) {
+            dropConnection();
+        }
+    }
+
+    private void dropConnection() {
+        if (connection != null) {
+            connection.close();
+            connection = null;
+        }
+        waiting = true;
+        loop.after(RETRY, () -> waiting = false);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/quincecross/net/FrameServer.java
@@ -0,0 +1,101 @@
+package org.quincecross.net;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import org.quincecross.model.Endpoint;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Listens for frames, each with its length before it. */
+public final class FrameServer implements Loop.Waker {
+    /** The longest frame that is taken; a longer one ends its connection. */
+    static final int MOST_FRAME = 1024 * 1024;
+    private static final int MOST_CONNECTIONS = 32;
+    private static final Logger LOG = LoggerFactory.getLogger(FrameServer.class);
+
+    /** Takes frames; false ends the connection that the frame came on. */
+    public interface Handler {
+        boolean frame(byte[] frame);
+    }
+
+    private final Loop loop;
+    private final Handler handler;
+    private final ServerSocketChannel channel;
+    private int connections;
+
+    public FrameServer(Loop loop, Endpoint listen, Handler handler) throws IOException {
+        this.loop = loop;
+        this.handler = handler;
+        channel = ServerSocketChannel.open();
+        channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+        channel.bind(new InetSocketAddress(listen.host(), listen.port()));
+        loop.register(channel, SelectionKey.OP_ACCEPT, this);
+    }
+
+    @Override
+    public void ready(SelectionKey key) throws IOException {
+        SocketChannel socket = channel.accept();
+        if (socket == null) {
+            return;
+        }
+        if (connections >= MOST_CONNECTIONS) {
+            socket.close();
+            return;
+        }
+        connections++;
+        new Receiver(socket);
+    }
+
+    @Override
+    public void broken(IOException cause) {
+        LOG.error("trouble on the peer socket: {}", cause.getMessage());
+    }
+
+    private final class Receiver implements Connection.Sink {
+        private final Connection connection;
+        private ByteBuffer rest = ByteBuffer.allocate(0);
+
+        Receiver(SocketChannel socket) throws IOException {
+            connection = new Connection(loop, socket, this, true);
+        }
+
+        @Override
+        public void received(ByteBuffer bytes) {
+            ByteBuffer joined = ByteBuffer.allocate(rest.remaining() + bytes.remaining()).put(rest).put(bytes).flip();
+            while (joined.remaining() >= 4) {
+                int length = joined.getInt(joined.position());
+                if (length < 0 || length > MOST_FRAME) {
+                    end("frame of " + length + " bytes");
+                    return;
+                }
+                if (joined.remaining() < 4 + length) {
+                    break;
+                }
+                byte[] frame = new byte[length];
+                joined.position(joined.position() + 4);
+                joined.get(frame);
+                if (!handler.frame(frame)) {
+                    end("unreadable frame");
+                    return;
+                }
+            }
+            rest = joined;
+        }
+
+        private void end(String why) {
+            LOG.info("peer connection closed: {}", why);
+            connection.close();
+            closed();
+        }
+
+        @Override
+        public void closed() {
+            connections--;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/quincecross/net/HttpClient.java
@@ -0,0 +1,168 @@
+package org.quincecross.net;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.quincecross.http.HttpParser;
+import org.quincecross.http.HttpRequest;
+import org.quincecross.model.Endpoint;
+import org.quincecross.model.Span;
+import org.quincecross.model.SteadyTime;
+
+/** Calls other programs, on connections that are kept and used again. */
+public final class HttpClient implements HttpCaller {
+    /** The longest response that is read; a watch may bring thousands of changes at once. */
+    private static final int MOST_BODY = 16 * 1024 * 1024;
+    private static final int MOST_KEPT = 4;
+    private static final Span KEEP = Span.ofSeconds(20);
+
+    /** The states of a call. */
+    private enum State { IDLE, WAITING, OVER }
+
+    private final Loop loop;
+    private final Map<Endpoint, ArrayDeque<Line>> kept = new HashMap<>();
+
+    public HttpClient(Loop loop) {
+        this.loop = loop;
+        loop.every(Span.ofSeconds(5), this::sweep);
+    }
+
+    @Override
+    public void call(Endpoint to, HttpRequest request, Span timeout, Consumer<HttpOutcome> done) {
+        Line line = null;
+        ArrayDeque<Line> lines = kept.get(to);
+        if (lines != null) {
+            line = lines.pollLast();
+        }
+        try {
+            if (line == null) {
+                line = new Line(to);
+            }
+        } catch (IOException | RuntimeException e) {
+            loop.after(Span.ofMillis(1), () -> done.accept(HttpOutcome.failed(false)));
+            return;
+        }
+        line.start(request, timeout, done);
+    }
+
+    private void sweep() {
+        SteadyTime now = loop.now();
+        kept.values().removeIf(lines -> {
+            while (!lines.isEmpty() && now.since(lines.peekFirst().idleSince).isMoreThan(KEEP)) {
+                lines.pollFirst().connection.close();
+            }
+            return lines.isEmpty();
+        });
+    }
+
+    private final class Line implements Connection.Sink {
+        private final Endpoint to;
+        private final Connection connection;
+        private final HttpParser parser = new HttpParser(HttpParser.Role.RESPONSES, MOST_BODY);
+        private State state = State.IDLE;
+        private Consumer<HttpOutcome> done;
+        private boolean sent;
+        private long call;
+        private SteadyTime idleSince;
+
+        Line(Endpoint to) throws IOException {
+            this.to = to;
+            SocketChannel socket = SocketChannel.open();
+            socket.configureBlocking(false);
+            socket.setOption(StandardSocketOptions.TCP_NODELAY, true);
+            boolean connected;
+            try {
+                connected = socket.connect(new InetSocketAddress(to.host(), to.port()));
+            } catch (IOException e) {
+                socket.close();
+                throw e;
+            }
+            connection = new Connection(loop, socket, this, connected);
+        }
+
+        /** The one place where a call changes its state. */
+        private void enter(State next) {
+            state = next;
+        }
+
+        void start(HttpRequest request, Span timeout, Consumer<HttpOutcome> whenDone) {
+            enter(State.WAITING);
+            done = whenDone;
+            sent = connection.state() == Connection.State.OPEN;
+            long mine = ++call;
+            connection.send(request.encode(to.toString()));
+            loop.after(timeout, () -> {
+                if (state == State.WAITING && call == mine) {
+                    finish(HttpOutcome.failed(sent), false);
+                }
+            });
+        }
+
+        private void finish(HttpOutcome outcome, boolean keep) {
+            Consumer<HttpOutcome> whenDone = done;
+            done = null;
+            if (keep) {
+                enter(State.IDLE);
+                parser.next();
+                idleSince = loop.now();
+                ArrayDeque<Line> lines = kept.computeIfAbsent(to, e -> new ArrayDeque<>());
+                lines.add(this);
+                if (lines.size() > MOST_KEPT) {
+                    lines.pollFirst().connection.close();
+                }
+            } else {
+                enter(State.OVER);
+                connection.close();
+            }
+            whenDone.accept(outcome);
+        }
+
+        @Override
+        public void connected() {
+            sent = true;
+        }
+
+        @Override
+        public void received(ByteBuffer bytes) {
+            if (state != State.WAITING) {
+                drop();
+                return;
+            }
+            HttpParser.Phase phase = parser.feed(bytes);
+            if (phase == HttpParser.Phase.COMPLETE) {
+                var response = parser.response();
+                finish(HttpOutcome.answered(response), !response.close() && !bytes.hasRemaining());
+            } else if (phase == HttpParser.Phase.FAILED) {
+                finish(HttpOutcome.failed(true), false);
+            }
+        }
+
+        @Override
+        public void closed() {
+            if (state != State.WAITING) {
+                drop();
+                return;
+            }
+            if (parser.end() == HttpParser.Phase.COMPLETE) {
+                finish(HttpOutcome.answered(parser.response()), false);
+            } else {
+                finish(HttpOutcome.failed(sent), false);
+            }
+        }
+
+        private void drop() {
+            enter(State.OVER);
+            connection.close();
+            ArrayDeque<Line> lines = kept.get(to);
+            if (lines != null) {
+                lines.remove(this);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/quincecross/net/HttpServer.java
@@ -0,0 +1,175 @@
+package org.quincecross.net;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import org.quincecross.http.HttpParser;
+import org.quincecross.http.HttpResponse;
+import org.quincecross.model.Endpoint;
+import org.quincecross.model.Span;
+import org.quincecross.model.SteadyTime;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Listens for HTTP. Slow and silent clients are timed out; too many of them are shed. */
+public final class HttpServer implements Loop.Waker {
+    private static final Logger LOG = LoggerFactory.getLogger(HttpServer.class);
+    private static final int MOST_BODY = 64 * 1024;
+    /** A client that has begun a request gets this long to finish it. */
+    private static final Span REQUEST_TIME = Span.ofSeconds(10);
+    private static final Span IDLE_TIME = Span.ofSeconds(90);
+
+    private final Loop loop;
+    private final HttpHandler handler;
+    private final int mostConnections;
+    private final ServerSocketChannel channel;
+    private final Set<Client> clients = new LinkedHashSet<>();
+
+    public HttpServer(Loop loop, Endpoint listen, int mostConnections, HttpHandler handler) throws IOException {
+        this.loop = loop;
+        this.handler = handler;
+        this.mostConnections = mostConnections;
+        channel = ServerSocketChannel.open();
+        channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+        channel.bind(new InetSocketAddress(listen.host(), listen.port()), 512);
+        loop.register(channel, SelectionKey.OP_ACCEPT, this);
+        loop.every(Span.ofSeconds(2), this::sweep);
+    }
+
+    public int connections() {
+        return clients.size();
+    }
+
+    @Override
+    public void ready(SelectionKey key) throws IOException {
+        for (int i = 0; i < 64; i++) {
+            SocketChannel socket;
+            try {
+                socket = channel.accept();
+            } catch (IOException e) {
+                // Out of sockets: the listener itself is sound, and must outlive the shortage.
+                LOG.error("cannot accept a connection: {}", e.getMessage());
+                shedIdle();
+                return;
+            }
+            if (socket == null) {
+                return;
+            }
+            if (clients.size() >= mostConnections) {
+                shedIdle();
+            }
+            socket.setOption(StandardSocketOptions.TCP_NODELAY, true);
+            clients.add(new Client(socket));
+        }
+    }
+
+    @Override
+    public void broken(IOException cause) {
+        LOG.error("trouble on the listening socket: {}", cause.getMessage());
+    }
+
+    /** Ends the connection that has been idle longest, so that health checks and workers still get one. */
+    private void shedIdle() {
+        for (Client client : clients) {
+            if (!client.busy) {
+                client.end();
+                return;
+            }
+        }
+    }
+
+    private void sweep() {
+        SteadyTime now = loop.now();
+        for (Client client : List.copyOf(clients)) {
+            Span quiet = now.since(client.since);
+            if (!client.busy && quiet.isMoreThan(client.parser.isMidMessage() ? REQUEST_TIME : IDLE_TIME)) {
+                client.end();
+            }
+        }
+    }
+
+    private final class Client implements Connection.Sink {
+        private final Connection connection;
+        private final HttpParser parser = new HttpParser(HttpParser.Role.REQUESTS, MOST_BODY);
+        private ByteBuffer rest = ByteBuffer.allocate(0);
+        private boolean busy;
+        private SteadyTime since = loop.now();
+
+        Client(SocketChannel socket) throws IOException {
+            connection = new Connection(loop, socket, this, true);
+        }
+
+        void end() {
+            connection.close();
+            clients.remove(this);
+        }
+
+        @Override
+        public void received(ByteBuffer bytes) {
+            if (rest.hasRemaining()) {
+                ByteBuffer joined = ByteBuffer.allocate(rest.remaining() + bytes.remaining());
+                joined.put(rest).put(bytes).flip();
+                rest = joined;
+            } else {
+                rest = bytes;
+            }
+            if (busy && rest.remaining() > 2 * MOST_BODY) {
+                end();
+                return;
+            }
+            proceed();
+        }
+
+        private void proceed() {
+            while (!busy && connection.state() == Connection.State.OPEN && rest.hasRemaining()) {
+                if (!parser.isMidMessage()) {
+                    since = loop.now();
+                }
+                HttpParser.Phase phase = parser.feed(rest);
+                if (phase == HttpParser.Phase.FAILED) {
+                    connection.send(HttpResponse.of(parser.failure()).closing().encode());
+                    connection.closeAfterFlush();
+                    clients.remove(this);
+                } else if (phase == HttpParser.Phase.COMPLETE) {
+                    var request = parser.request();
+                    parser.next();
+                    busy = true;
+                    boolean[] answered = new boolean[1];
+                    handler.handle(request, response -> {
+                        if (!answered[0]) {
+                            answered[0] = true;
+                            answer(request.close() ? response.closing() : response);
+                        }
+                    });
+                }
+            }
+        }
+
+        private void answer(HttpResponse response) {
+            busy = false;
+            since = loop.now();
+            if (clients.remove(this)) {
+                clients.add(this); // the set stays in the order of last use
+            }
+            connection.send(response.encode());
+            if (response.close()) {
+                connection.closeAfterFlush();
+                clients.remove(this);
+            } else {
+                proceed();
+            }
+        }
+
+        @Override
+        public void closed() {
+            clients.remove(this);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/quincecross/net/package-info.java
@@ -0,0 +1,2 @@
+/** One thread, one selector loop: timers, the HTTP server and client, limiters. Nothing here blocks. */
+package org.quincecross.net;
--- /dev/null
+++ b/src/main/java/org/quincecross/peer/PeerCodec.java
@@ -0,0 +1,169 @@
+package org.quincecross.peer;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+import org.quincecross.model.BlockId;
+import org.quincecross.model.Incarnation;
+import org.quincecross.model.JobId;
+import org.quincecross.model.MachineId;
+import org.quincecross.model.MemberId;
+import org.quincecross.model.Resources;
+import org.quincecross.model.Revision;
+import org.quincecross.model.Span;
+import org.quincecross.model.TaskId;
+import org.quincecross.model.Token;
+import org.quincecross.wire.BadMessage;
+
+/** Peer reports to and from MessagePack. */
+public final class PeerCodec {
+    private static final int FORMAT = 1;
+    private static final int MOST_ITEMS = 200_000;
+
+    private PeerCodec() {
+    }
+
+    public static byte[] write(PeerReport report) {
+        try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
+            out.packInt(FORMAT);
+            out.packString(report.member().text());
+            out.packLong(report.life().number());
+            out.packLong(report.number());
+            out.packLong(report.unconfirmed().nanos());
+            out.packArrayHeader(report.strays().size());
+            for (MachineId stray : report.strays()) {
+                out.packString(stray.text());
+            }
+            out.packArrayHeader(report.blocks().size());
+            for (PeerReport.Block block : report.blocks()) {
+                writeBlock(out, block);
+            }
+            return out.toByteArray();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private static void writeBlock(MessageBufferPacker out, PeerReport.Block block) throws IOException {
+        out.packString(block.id().text());
+        out.packLong(block.token().number());
+        out.packLong(block.allocation().number());
+        writeTasks(out, block.completed());
+        writeTasks(out, block.released());
+        out.packMapHeader(block.running().size());
+        for (Map.Entry<JobId, Integer> running : block.running().entrySet()) {
+            out.packString(running.getKey().text());
+            out.packInt(running.getValue());
+        }
+        out.packArrayHeader(block.machines().size());
+        for (PeerReport.MachineState machine : block.machines()) {
+            out.packString(machine.id().text());
+            out.packDouble(machine.free().cpus());
+            out.packDouble(machine.free().gpus());
+            out.packDouble(machine.free().memoryGb());
+            out.packLong(machine.silent().nanos());
+            out.packBoolean(machine.fenced());
+            out.packBoolean(machine.notice());
+            out.packBoolean(machine.sick());
+            out.packInt(machine.tasks());
+            out.packInt(machine.queued());
+            out.packArrayHeader(machine.images().size());
+            for (String image : machine.images()) {
+                out.packString(image);
+            }
+        }
+    }
+
+    private static void writeTasks(MessageBufferPacker out, List<TaskId> tasks) throws IOException {
+        out.packArrayHeader(tasks.size());
+        for (TaskId task : tasks) {
+            out.packString(task.toString());
+        }
+    }
+
+    public static PeerReport read(byte[] bytes) throws BadMessage {
+        try (MessageUnpacker in = MessagePack.newDefaultUnpacker(bytes)) {
+            if (in.unpackInt() != FORMAT) {
+                throw new BadMessage("unknown format of a peer report");
+            }
+            MemberId member = new MemberId(in.unpackString());
+            Incarnation life = new Incarnation(in.unpackLong());
+            long number = in.unpackLong();
+            Span unconfirmed = new Span(in.unpackLong());
+            List<MachineId> strays = new ArrayList<>();
+            for (int i = count(in.unpackArrayHeader()); i > 0; i--) {
+                strays.add(new MachineId(in.unpackString()));
+            }
+            List<PeerReport.Block> blocks = new ArrayList<>();
+            for (int i = count(in.unpackArrayHeader()); i > 0; i--) {
+                blocks.add(readBlock(in));
+            }
+            if (in.hasNext()) {
+                throw new BadMessage("bytes left over in a peer report");
+            }
+            return new PeerReport(member, life, number, unconfirmed, blocks, strays);
+        } catch (IOException | MessagePackException e) {
+            throw new BadMessage("unreadable peer report");
+        }
+    }
+
+    private static PeerReport.Block readBlock(MessageUnpacker in) throws IOException, BadMessage {
+        BlockId id = new BlockId(in.unpackString());
+        Token token = new Token(in.unpackLong());
+        Revision allocation = new Revision(in.unpackLong());
+        List<TaskId> completed = readTasks(in);
+        List<TaskId> released = readTasks(in);
+        Map<JobId, Integer> running = new HashMap<>();
+        for (int i = count(in.unpackMapHeader()); i > 0; i--) {
+            JobId job = JobId.parse(in.unpackString());
+            int tasks = in.unpackInt();
+            if (job == null) {
+                throw new BadMessage("bad job id in a peer report");
+            }
+            running.put(job, tasks);
+        }
+        List<PeerReport.MachineState> machines = new ArrayList<>();
+        for (int i = count(in.unpackArrayHeader()); i > 0; i--) {
+            MachineId machine = new MachineId(in.unpackString());
+            Resources free = new Resources(in.unpackDouble(), in.unpackDouble(), in.unpackDouble());
+            Span silent = new Span(in.unpackLong());
+            boolean fenced = in.unpackBoolean();
+            boolean notice = in.unpackBoolean();
+            boolean sick = in.unpackBoolean();
+            int tasks = in.unpackInt();
+            int queued = in.unpackInt();
+            List<String> images = new ArrayList<>();
+            for (int j = count(in.unpackArrayHeader()); j > 0; j--) {
+                images.add(in.unpackString());
+            }
+            machines.add(new PeerReport.MachineState(machine, free, silent, fenced, notice, sick, tasks, queued, images));
+        }
+        return new PeerReport.Block(id, token, allocation, completed, released, running, machines);
+    }
+
+    private static List<TaskId> readTasks(MessageUnpacker in) throws IOException, BadMessage {
+        List<TaskId> tasks = new ArrayList<>();
+        for (int i = count(in.unpackArrayHeader()); i > 0; i--) {
+            TaskId task = TaskId.parse(in.unpackString());
+            if (task == null) {
+                throw new BadMessage("bad task id in a peer report");
+            }
+            tasks.add(task);
+        }
+        return tasks;
+    }
+
+    private static int count(int items) throws BadMessage {
+        if (items > MOST_ITEMS) {
+            throw new BadMessage("too many items in a peer report");
+        }
+        return items;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/quincecross/program/QuincecrossCommand.java
@@ -0,0 +1,29 @@
+package org.quincecross.program;
+
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Spec;
+
+/** The command line: without a subcommand, serves. */
+@Command(name = "quincecross", mixinStandardHelpOptions = true, versionProvider = Version.class,
+        description = "A cluster scheduler: runs one controller until it is killed.")
+final class QuincecrossCommand implements Callable<Integer> {
+    @Spec
+    private CommandSpec spec;
+
+    @Option(names = "--config", paramLabel = "FILE", description = "the settings file (JSON) of this controller")
+    private Path config;
+
+    @Override
+    public Integer call() throws Exception {
+        if (config == null) {
+            throw new ParameterException(spec.commandLine(), "--config FILE is needed to serve");
+        }
+        new Server(SettingsFile.read(config)).run();
+        return 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/quincecross/program/Server.java
@@ -0,0 +1,44 @@
+package org.quincecross.program;
+
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.Map;
+import org.quincecross.api.Controller;
+import org.quincecross.model.MemberId;
+import org.quincecross.net.FrameSender;
+import org.quincecross.net.FrameServer;
+import org.quincecross.net.HttpClient;
+import org.quincecross.net.HttpServer;
+import org.quincecross.net.Loop;
+import org.quincecross.wire.Settings;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** A controller on real sockets and a real clock. */
+final class Server {
+    private static final Logger LOG = LoggerFactory.getLogger(Server.class);
+    /** Sockets kept for what this controller calls and for the other controllers. */
+    private static final int SOCKETS_KEPT = 120;
+
+    private final Settings settings;
+
+    Server(Settings settings) {
+        this.settings = settings;
+    }
+
+    void run() throws IOException {
+        Loop loop = new Loop();
+        Map<MemberId, FrameSender> peers = new HashMap<>();
+        for (Settings.Sibling sibling : settings.siblings()) {
+            peers.put(sibling.member(), new FrameSender(loop, sibling.endpoint()));
+        }
+        Controller controller = new Controller(loop, new HttpClient(loop), (to, frame) -> peers.get(to).send(frame),
+                settings, System::currentTimeMillis);
+        int sockets = settings.quota().sockets();
+        new HttpServer(loop, settings.listen(), Math.max(sockets / 2, sockets - SOCKETS_KEPT), controller);
+        new FrameServer(loop, settings.peerListen(), controller::frame);
+        controller.start();
+        LOG.info("{} serves users and workers on {}, controllers on {}", settings.member(), settings.listen(), settings.peerListen());
+        loop.run();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/quincecross/sched/BlockScheduler.java
@@ -0,0 +1,302 @@
+package org.quincecross.sched;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.function.Predicate;
+import org.quincecross.model.MachineId;
+import org.quincecross.model.Resources;
+import org.quincecross.model.Shape;
+import org.quincecross.model.SteadyTime;
+
+/**
+ * The queues of a block's machines, which are one another's neighbours: local backfilling limited by counters,
+ * free machines pulling from the longest queues, and balancing of the queues (the paper's sections IV.A to IV.C, in
+ * the PULL variant).
+ */
+public final class BlockScheduler {
+    /** Work that is to start, and on which machine each of its tasks. */
+    public record Start(Entry entry, List<MachineId> machines) {
+    }
+
+    private final Map<MachineId, MachineQueue> machines = new LinkedHashMap<>();
+    private final Map<Entry, MachineQueue> queueOf = new HashMap<>();
+
+    public void addMachine(MachineId machine, Resources capacity, Predicate<String> hasImage) {
+        machines.put(machine, new MachineQueue(machine, capacity, hasImage));
+    }
+
+    /** Takes a machine out; what waited for it goes to the others. */
+    public void removeMachine(MachineId machine) {
+        MachineQueue gone = machines.remove(machine);
+        if (gone != null) {
+            for (Entry entry : List.copyOf(gone.waiting())) {
+                remove(entry);
+                enqueue(entry);
+            }
+            gone.waiting().forEach(queueOf::remove);
+        }
+    }
+
+    public Collection<MachineQueue> machines() {
+        return machines.values();
+    }
+
+    public MachineQueue machine(MachineId machine) {
+        return machines.get(machine);
+    }
+
+    /** Says what a machine's tasks take now, and whether it may be given more. */
+    public void update(MachineId machine, Resources used, boolean open) {
+        MachineQueue queue = machines.get(machine);
+        queue.use(used);
+        queue.open(open);
+    }
+
+    /** Puts work into the queue of the machine where it starts soonest; false if no machine could ever run it. */
+    public boolean enqueue(Entry entry) {
+        MachineQueue best = null;
+        for (MachineQueue machine : machines.values()) {
+            if (machine.canEver(entry) && (best == null || entryOrder(entry).compare(machine, best) < 0)) {
+                best = machine;
+            }
+        }
+        if (best == null) {
+            return false;
+        }
+        best.add(entry);
+        queueOf.put(entry, best);
+        return true;
+    }
+
+    /** Which machine new work goes to: one that has room now, the image and the better fit, else the shortest queue. */
+    private static Comparator<MachineQueue> entryOrder(Entry entry) {
+        return Comparator
+                .comparing((MachineQueue machine) -> !machine.isOpen() || entry.avoided().contains(machine.machine()))
+                .thenComparing(machine -> !(machine.fitsNow(entry) && machine.waiting().isEmpty()))
+                .thenComparing(machine -> machine.fitsNow(entry) && !machine.hasImage(entry))
+                .thenComparing(MachineQueue::load)
+                .thenComparing(machine -> machine.fit(entry))
+                .thenComparing(MachineQueue::machine);
+    }
+
+    public void remove(Entry entry) {
+        MachineQueue queue = queueOf.remove(entry);
+        if (queue != null) {
+            queue.remove(entry);
+        }
+    }
+
+    public boolean isWaiting(Entry entry) {
+        return queueOf.containsKey(entry);
+    }
+
+    /** The work that waits in the block, in no order. */
+    public Collection<Entry> waiting() {
+        return queueOf.keySet();
+    }
+
+    /** Decides what starts now. What is started counts as used and waits no more. */
+    public List<Start> schedule(SteadyTime now) {
+        List<Start> starts = new ArrayList<>();
+        Set<MachineId> kept = startGangs(now, starts);
+        for (MachineQueue machine : machines.values()) {
+            while (machine.isOpen() && !kept.contains(machine.machine()) && startLocally(machine, now, starts)) {
+                // one more has started
+            }
+        }
+        for (MachineQueue machine : machines.values()) {
+            while (machine.isOpen() && !kept.contains(machine.machine()) && pull(machine, now, starts)) {
+                // one more was pulled and has started
+            }
+        }
+        balance();
+        return starts;
+    }
+
+    private void start(Entry entry, List<MachineQueue> on, List<Start> starts) {
+        remove(entry);
+        List<MachineId> ids = new ArrayList<>();
+        for (MachineQueue machine : on) {
+            machine.occupy(entry.job().each());
+            ids.add(machine.machine());
+        }
+        starts.add(new Start(entry, ids));
+    }
+
+    /**
+     * Starts gangs that fit as a whole. A gang that has been passed as often as the head of its queue and still does
+     * not fit keeps the machines that are likeliest to hold it free of further work, so that it is not starved by
+     * small tasks; the rest of the block goes on.
+     *
+     * @return the machines kept
+     */
+    private Set<MachineId> startGangs(SteadyTime now, List<Start> starts) {
+        List<Entry> gangs = new ArrayList<>();
+        for (Entry entry : queueOf.keySet()) {
+            if (isGang(entry) && entry.isReady(now)) {
+                gangs.add(entry);
+            }
+        }
+        gangs.sort(Entry.ORDER);
+        Set<MachineId> kept = new HashSet<>();
+        for (Entry gang : gangs) {
+            MachineQueue home = queueOf.get(gang);
+            Entry head = home.head(now);
+            if (gang.counter() < head.counter() || head.job().rank().isAbove(gang.job().rank())) {
+                continue;
+            }
+            List<MachineQueue> places = places(gang, kept, machine -> machine.free());
+            if (places != null) {
+                home.passedBy(gang, now);
+                start(gang, places, starts);
+                continue;
+            }
+            List<MachineQueue> wanted = places(gang, kept, MachineQueue::capacity);
+            if (wanted != null) {
+                wanted.forEach(machine -> kept.add(machine.machine()));
+            }
+        }
+        return kept;
+    }
+
+    private static boolean isGang(Entry entry) {
+        return entry.job().shape() == Shape.GANG;
+    }
+
+    /** Where the tasks of a gang could go if each machine had {@code room}, or null if they do not all fit. */
+    private List<MachineQueue> places(Entry gang, Set<MachineId> kept,
+            Function<MachineQueue, Resources> room) {
+        List<MachineQueue> order = new ArrayList<>();
+        for (MachineQueue machine : machines.values()) {
+            if (machine.isOpen() && !kept.contains(machine.machine()) && !gang.avoided().contains(machine.machine())) {
+                order.add(machine);
+            }
+        }
+        order.sort(Comparator.comparing((MachineQueue machine) -> !machine.hasImage(gang))
+                .thenComparing(machine -> machine.used().shareOf(machine.capacity()))
+                .thenComparing(MachineQueue::machine));
+        List<MachineQueue> places = new ArrayList<>();
+        for (MachineQueue machine : order) {
+            int fit = Math.min(room.apply(machine).count(gang.job().each()), gang.tasks().size() - places.size());
+            for (int i = 0; i < fit; i++) {
+                places.add(machine);
+            }
+        }
+        return places.size() == gang.tasks().size() ? places : null;
+    }
+
+    /**
+     * Local scheduling: the head starts if it fits; else, of those whose counter is at least the head's, the one with
+     * the least BM times FM, and everything that it passes is counted up.
+     */
+    private boolean startLocally(MachineQueue machine, SteadyTime now, List<Start> starts) {
+        Entry head = machine.head(now);
+        if (head == null) {
+            return false;
+        }
+        if (!isGang(head) && machine.fitsNow(head)) {
+            start(head, List.of(machine), starts);
+            return true;
+        }
+        Entry best = null;
+        for (Entry entry : machine.waiting()) {
+            if (entry != head && !isGang(entry) && entry.isReady(now) && entry.counter() >= head.counter()
+                    && machine.fitsNow(entry) && (best == null || better(machine, entry, best))) {
+                best = entry;
+            }
+        }
+        if (best == null) {
+            return false;
+        }
+        machine.passedBy(best, now);
+        start(best, List.of(machine), starts);
+        return true;
+    }
+
+    /** The higher priority, then the least BM times FM. */
+    private static boolean better(MachineQueue machine, Entry one, Entry other) {
+        int byRank = one.job().rank().compareTo(other.job().rank());
+        if (byRank != 0) {
+            return byRank > 0;
+        }
+        if (machine.hasImage(one) != machine.hasImage(other)) {
+            return machine.hasImage(one);
+        }
+        return machine.fit(one) < machine.fit(other);
+    }
+
+    /**
+     * Internode scheduling: a machine with room pulls from the neighbour with the longest queue that has something for
+     * it. An asker with work of its own takes only entries whose counter is at most its head's; one with an empty
+     * queue takes any that fits.
+     */
+    private boolean pull(MachineQueue asker, SteadyTime now, List<Start> starts) {
+        Entry head = asker.head(now);
+        List<MachineQueue> neighbours = new ArrayList<>(machines.values());
+        neighbours.remove(asker);
+        neighbours.sort(Comparator.comparing((MachineQueue machine) -> -machine.waiting().size())
+                .thenComparing(MachineQueue::machine));
+        for (MachineQueue neighbour : neighbours) {
+            Entry best = null;
+            for (Entry entry : neighbour.waiting()) {
+                if (!isGang(entry) && entry.isReady(now) && asker.fitsNow(entry)
+                        && (head == null || entry.counter() <= head.counter())
+                        && (best == null || better(asker, entry, best))) {
+                    best = entry;
+                }
+            }
+            if (best != null) {
+                start(best, List.of(asker), starts);
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /**
+     * Queue balancing: the least loaded machine that has some load pulls one entry from the most loaded, if that
+     * lowers the larger of the two. In a block all machines are alike, so each is among its equals.
+     */
+    private void balance() {
+        MachineQueue least = null;
+        MachineQueue most = null;
+        for (MachineQueue machine : machines.values()) {
+            double load = machine.load();
+            if (load > 0 && machine.isOpen() && (least == null || load < least.load())) {
+                least = machine;
+            }
+            if (most == null || load > most.load()) {
+                most = machine;
+            }
+        }
+        if (least == null || most == least) {
+            return;
+        }
+        Entry best = null;
+        double bestObjective = most.load();
+        for (Entry entry : most.waiting()) {
+            if (!least.canEver(entry) || entry.avoided().contains(least.machine())) {
+                continue;
+            }
+            double share = entry.job().each().times(entry.tasks().size()).shareOf(least.capacity());
+            double objective = Math.max(least.load() + share, most.load() - share);
+            if (objective < bestObjective - 1e-9) {
+                best = entry;
+                bestObjective = objective;
+            }
+        }
+        if (best != null) {
+            remove(best);
+            least.add(best);
+            queueOf.put(best, least);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/quincecross/sched/Entry.java
@@ -0,0 +1,64 @@
+package org.quincecross.sched;
+
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.quincecross.model.Job;
+import org.quincecross.model.MachineId;
+import org.quincecross.model.Revision;
+import org.quincecross.model.SteadyTime;
+import org.quincecross.model.TaskId;
+
+/** What waits in a queue: a task, or all tasks of a gang. */
+public final class Entry {
+    /** Priority comes before age: the queues of the paper are first come, first served within a priority. */
+    static final Comparator<Entry> ORDER = Comparator
+            .comparing((Entry entry) -> entry.job.rank()).reversed()
+            .thenComparing(entry -> entry.accepted)
+            .thenComparing(entry -> entry.tasks.get(0));
+
+    private final Job job;
+    private final List<TaskId> tasks;
+    private final Revision accepted;
+    private final Set<MachineId> avoided = new HashSet<>();
+    private int counter;
+    private SteadyTime notBefore;
+
+    public Entry(Job job, List<TaskId> tasks, Revision accepted) {
+        this.job = job;
+        this.tasks = List.copyOf(tasks);
+        this.accepted = accepted;
+    }
+
+    public Job job() {
+        return job;
+    }
+
+    public List<TaskId> tasks() {
+        return tasks;
+    }
+
+    /** The backfilling counter: how many have passed this entry in a queue. */
+    public int counter() {
+        return counter;
+    }
+
+    void passed() {
+        counter++;
+    }
+
+    /** Machines on which this work has failed and is not tried again while there are others. */
+    public Set<MachineId> avoided() {
+        return avoided;
+    }
+
+    /** Keeps the entry from starting before {@code time}. */
+    public void holdBack(SteadyTime time) {
+        notBefore = time;
+    }
+
+    boolean isReady(SteadyTime now) {
+        return notBefore == null || !now.isBefore(notBefore);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/quincecross/sched/MachineQueue.java
@@ -0,0 +1,118 @@
+package org.quincecross.sched;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.function.Predicate;
+import org.quincecross.model.MachineId;
+import org.quincecross.model.Resources;
+import org.quincecross.model.SteadyTime;
+
+/** A machine and the queue of work that waits for it. */
+public final class MachineQueue {
+    private final MachineId machine;
+    private final Resources capacity;
+    private final Predicate<String> hasImage;
+    private final List<Entry> queue = new ArrayList<>();
+    private Resources used = Resources.NONE;
+    private boolean open;
+
+    MachineQueue(MachineId machine, Resources capacity, Predicate<String> hasImage) {
+        this.machine = machine;
+        this.capacity = capacity;
+        this.hasImage = hasImage;
+    }
+
+    public MachineId machine() {
+        return machine;
+    }
+
+    public Resources capacity() {
+        return capacity;
+    }
+
+    public Resources used() {
+        return used;
+    }
+
+    public Resources free() {
+        return capacity.minus(used);
+    }
+
+    public boolean isOpen() {
+        return open;
+    }
+
+    void open(boolean nowOpen) {
+        open = nowOpen;
+    }
+
+    void use(Resources now) {
+        used = now;
+    }
+
+    void occupy(Resources more) {
+        used = used.plus(more);
+    }
+
+    /** The waiting work, first in line first. */
+    public List<Entry> waiting() {
+        return Collections.unmodifiableList(queue);
+    }
+
+    void add(Entry entry) {
+        int at = Collections.binarySearch(queue, entry, Entry.ORDER);
+        queue.add(at < 0 ? -at - 1 : at, entry);
+    }
+
+    boolean remove(Entry entry) {
+        return queue.remove(entry);
+    }
+
+    /** The first in line that may start now, or null. */
+    Entry head(SteadyTime now) {
+        for (Entry entry : queue) {
+            if (entry.isReady(now)) {
+                return entry;
+            }
+        }
+        return null;
+    }
+
+    boolean canEver(Entry entry) {
+        return entry.job().each().fitsIn(capacity);
+    }
+
+    boolean fitsNow(Entry entry) {
+        return open && entry.job().each().fitsIn(free()) && !entry.avoided().contains(machine);
+    }
+
+    boolean hasImage(Entry entry) {
+        return hasImage.test(entry.job().image());
+    }
+
+    double fit(Entry entry) {
+        return Fit.product(capacity, used, entry.job().each());
+    }
+
+    /** The paper's normalized load (equations 4 and 5): the largest sum of what the waiting work asks for. */
+    double load() {
+        Resources sum = Resources.NONE;
+        for (Entry entry : queue) {
+            sum = sum.plus(entry.job().each().times(entry.tasks().size()));
+        }
+        return sum.shareOf(capacity);
+    }
+
+    /** Work was started past the entries ahead of it: each of them has been passed once more. */
+    void passedBy(Entry started, SteadyTime now) {
+        for (Entry entry : queue) {
+            if (entry == started) {
+                return;
+            }
+            if (entry.isReady(now)) {
+                entry.passed();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/quincecross/state/BlockLease.java
@@ -0,0 +1,102 @@
+package org.quincecross.state;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.quincecross.model.BlockId;
+import org.quincecross.model.Endpoint;
+import org.quincecross.model.Incarnation;
+import org.quincecross.model.Machine;
+import org.quincecross.model.MachineId;
+import org.quincecross.model.MemberId;
+import org.quincecross.model.Token;
+import org.quincecross.wire.BadMessage;
+import org.quincecross.wire.Fields;
+import org.quincecross.wire.Json;
+
+/**
+ * A block and the controller that it is leased to. Every change of the record is a new lease with a higher token, also
+ * where only a machine was added: the holder then goes on with what it knows.
+ *
+ * @param holder the controller that may give commands to the machines
+ * @param life the life of the holder that the lease was made for
+ * @param leaving machines that are to go back to the cloud, and get no more work
+ * @param tenure the lease with which the present holder's unbroken holding began
+ * @param token the revision of this lease
+ */
+public record BlockLease(
+        BlockId id, MemberId holder, Incarnation life, String type, String zone, boolean spot,
+        Map<MachineId, Machine> machines, Set<MachineId> leaving, Token tenure, Token token) {
+
+    static BlockLease read(BlockId id, Object value, Token token) throws BadMessage {
+        Fields in = Fields.of(value, "a block");
+        String type = in.text("type");
+        String zone = in.text("zone");
+        boolean spot = in.flag("spot");
+        Map<MachineId, Machine> machines = new LinkedHashMap<>();
+        for (Object item : in.list("machines")) {
+            if (!(item instanceof List<?> pair) || pair.size() != 2 || !(pair.get(0) instanceof String name)
+                    || !(pair.get(1) instanceof String address) || Endpoint.parse(address) == null) {
+                throw new BadMessage("bad machine in a block");
+            }
+            MachineId machine = new MachineId(name);
+            machines.put(machine, new Machine(machine, Endpoint.parse(address), type, zone, spot));
+        }
+        Set<MachineId> leaving = new LinkedHashSet<>();
+        if (in.has("leaving")) {
+            in.texts("leaving").forEach(name -> leaving.add(new MachineId(name)));
+        }
+        return new BlockLease(id, new MemberId(in.text("holder")), new Incarnation(in.unsigned("life")), type, zone, spot,
+                machines, leaving, in.has("tenure") ? new Token(in.unsigned("tenure")) : token, token);
+    }
+
+    public Map<String, Object> write() {
+        List<Object> list = new ArrayList<>();
+        for (Machine machine : machines.values()) {
+            list.add(List.of(machine.id().text(), machine.address().toString()));
+        }
+        Map<String, Object> out = Json.object("holder", holder.text(), "life", life.number(), "type", type, "zone", zone,
+                "spot", spot, "machines", list);
+        if (tenure.number() != 0) {
+            out.put("tenure", tenure.number());
+        }
+        if (!leaving.isEmpty()) {
+            out.put("leaving", leaving.stream().map(MachineId::text).toList());
+        }
+        return out;
+    }
+
+    /** A block as it is to be leased for the first time. */
+    public static BlockLease first(BlockId id, MemberRecord holder, Machine machine) {
+        return new BlockLease(id, holder.member(), holder.life(), machine.type(), machine.zone(), machine.spot(),
+                Map.of(machine.id(), machine), Set.of(), Token.NONE, Token.NONE);
+    }
+
+    /** The block under another holder, whose tenure begins with the lease to be written. */
+    public BlockLease heldBy(MemberRecord member) {
+        return new BlockLease(id, member.member(), member.life(), type, zone, spot, machines, leaving, Token.NONE, token);
+    }
+
+    public BlockLease with(Machine machine) {
+        Map<MachineId, Machine> more = new LinkedHashMap<>(machines);
+        more.put(machine.id(), machine);
+        return new BlockLease(id, holder, life, type, zone, spot, more, leaving, tenure, token);
+    }
+
+    public BlockLease without(MachineId machine) {
+        Map<MachineId, Machine> fewer = new LinkedHashMap<>(machines);
+        fewer.remove(machine);
+        Set<MachineId> left = new LinkedHashSet<>(leaving);
+        left.remove(machine);
+        return new BlockLease(id, holder, life, type, zone, spot, fewer, left, tenure, token);
+    }
+
+    public BlockLease leaving(MachineId machine) {
+        Set<MachineId> more = new LinkedHashSet<>(leaving);
+        more.add(machine);
+        return new BlockLease(id, holder, life, type, zone, spot, machines, more, tenure, token);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/quincecross/state/Keys.java
@@ -0,0 +1,53 @@
+package org.quincecross.state;
+
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import org.quincecross.model.BlockId;
+import org.quincecross.model.JobId;
+import org.quincecross.model.MemberId;
+
+/** Where the records lie in the state service. */
+public final class Keys {
+    /** Everything lies under this, so that one watch sees every change. */
+    public static final String ROOT = "q/";
+    public static final String LEADER = ROOT + "leader";
+    public static final String OPERATOR_SETTINGS = ROOT + "settings";
+    static final String MEMBERS = ROOT + "member/";
+    static final String JOBS = ROOT + "job/";
+    static final String DONE = ROOT + "done/";
+    static final String BLOCKS = ROOT + "block/";
+    static final String ALLOCATIONS = ROOT + "alloc/";
+    static final String TYPES = ROOT + "type/";
+
+    private Keys() {
+    }
+
+    public static String member(MemberId member) {
+        return MEMBERS + safe(member.text());
+    }
+
+    public static String job(JobId job) {
+        return JOBS + job.text();
+    }
+
+    /** The record of which tasks of a job are done, for the tasks of one chunk. */
+    public static String done(JobId job, int chunk) {
+        return DONE + job.text() + "/" + chunk;
+    }
+
+    public static String block(BlockId block) {
+        return BLOCKS + block.text();
+    }
+
+    public static String allocation(BlockId block) {
+        return ALLOCATIONS + block.text();
+    }
+
+    public static String type(String name) {
+        return TYPES + safe(name);
+    }
+
+    private static String safe(String name) {
+        return URLEncoder.encode(name, StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/quincecross/state/Ledger.java
@@ -0,0 +1,298 @@
+package org.quincecross.state;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.quincecross.model.BlockId;
+import org.quincecross.model.Incarnation;
+import org.quincecross.model.JobId;
+import org.quincecross.model.JobPhase;
+import org.quincecross.model.MachineId;
+import org.quincecross.model.MachineType;
+import org.quincecross.model.MemberId;
+import org.quincecross.model.Revision;
+import org.quincecross.model.TaskSet;
+import org.quincecross.model.Token;
+import org.quincecross.wire.BadMessage;
+import org.quincecross.wire.CloudCodec;
+import org.quincecross.wire.Fields;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** This controller's copy of the records, as of {@link #revision()}. Changed by the {@link Follower} alone. */
+public final class Ledger {
+    private static final Logger LOG = LoggerFactory.getLogger(Ledger.class);
+
+    /** What a batch of changes touched. */
+    public record Changes(Set<JobId> jobs, Set<BlockId> blocks, boolean reloaded) {
+    }
+
+    /** Told after every batch. */
+    public interface Listener {
+        void changed(Changes changes);
+    }
+
+    private final Map<String, Revision> versions = new HashMap<>();
+    private final Map<JobId, JobRecord> jobs = new HashMap<>();
+    private final TreeSet<JobRecord> open = new TreeSet<>(
+            Comparator.comparing(JobRecord::version).thenComparing(JobRecord::id));
+    private final Map<JobId, Map<Integer, TaskSet>> done = new HashMap<>();
+    private final Map<BlockId, BlockLease> blocks = new TreeMap<>();
+    private final Map<BlockId, Allocation> allocations = new HashMap<>();
+    private final Map<MachineId, BlockId> blockOf = new HashMap<>();
+    private final Map<MemberId, MemberRecord> members = new TreeMap<>();
+    private final Map<String, MachineType> types = new TreeMap<>();
+    private final List<Listener> listeners = new ArrayList<>();
+    private MemberRecord leader;
+    private Object operatorSettings;
+    private Revision revision = Revision.NONE;
+    private boolean loaded;
+
+    private Set<JobId> touchedJobs = new HashSet<>();
+    private Set<BlockId> touchedBlocks = new HashSet<>();
+    private boolean touchedOther;
+
+    public void listen(Listener listener) {
+        listeners.add(listener);
+    }
+
+    /** Whether the records have been read at all. */
+    public boolean isLoaded() {
+        return loaded;
+    }
+
+    public Revision revision() {
+        return revision;
+    }
+
+    /** The version of a key, {@link Revision#NONE} if there is no such key. */
+    public Revision version(String key) {
+        return versions.getOrDefault(key, Revision.NONE);
+    }
+
+    public JobRecord job(JobId id) {
+        return jobs.get(id);
+    }
+
+    public int jobCount() {
+        return jobs.size();
+    }
+
+    /** The open jobs, first accepted first. */
+    public Iterable<JobRecord> openJobs() {
+        return open;
+    }
+
+    public boolean isDone(JobId job, int index) {
+        Map<Integer, TaskSet> chunks = done.get(job);
+        TaskSet chunk = chunks == null ? null : chunks.get(index / DoneTasks.CHUNK);
+        return chunk != null && chunk.has(index);
+    }
+
+    /** A copy of the set of a job's done tasks. */
+    public TaskSet doneTasks(JobId job) {
+        TaskSet all = new TaskSet();
+        done.getOrDefault(job, Map.of()).values().forEach(all::addAll);
+        return all;
+    }
+
+    public int doneCount(JobId job) {
+        int count = 0;
+        for (TaskSet chunk : done.getOrDefault(job, Map.of()).values()) {
+            count += chunk.size();
+        }
+        return count;
+    }
+
+    /** The chunks of a job that have a record of done tasks. */
+    public Set<Integer> doneChunks(JobId job) {
+        return done.getOrDefault(job, Map.of()).keySet();
+    }
+
+    public Map<BlockId, BlockLease> blocks() {
+        return blocks;
+    }
+
+    public Allocation allocation(BlockId block) {
+        return allocations.getOrDefault(block, Allocation.EMPTY);
+    }
+
+    /** Blocks that have an allocation, also where the block itself is gone. */
+    public Set<BlockId> allocatedBlocks() {
+        return allocations.keySet();
+    }
+
+    public BlockLease blockOf(MachineId machine) {
+        BlockId block = blockOf.get(machine);
+        return block == null ? null : blocks.get(block);
+    }
+
+    public Map<MemberId, MemberRecord> members() {
+        return members;
+    }
+
+    /** The leading controller; its version is that of the leadership. Null where there is none. */
+    public MemberRecord leader() {
+        return leader;
+    }
+
+    public Map<String, MachineType> types() {
+        return types;
+    }
+
+    public Object operatorSettings() {
+        return operatorSettings;
+    }
+
+    /** Takes a whole reading of the records in place of what was known. */
+    void load(Map<String, StateEntry> entries, Revision at) {
+        for (String key : List.copyOf(versions.keySet())) {
+            if (!entries.containsKey(key)) {
+                put(key, null, Revision.NONE);
+            }
+        }
+        entries.forEach((key, entry) -> put(key, entry.value(), entry.version()));
+        revision = at;
+        loaded = true;
+        publish(true);
+    }
+
+    /** A value and its version, in a reading of the records. */
+    record StateEntry(Object value, Revision version) {
+    }
+
+    /** Takes one change; {@code value} is null where the key is gone. */
+    void apply(String key, Object value, Revision version) {
+        put(key, value, version);
+    }
+
+    /** The changes up to here have all been taken. */
+    void advance(Revision to) {
+        if (to.isAfter(revision)) {
+            revision = to;
+        }
+        if (!touchedJobs.isEmpty() || !touchedBlocks.isEmpty() || touchedOther) {
+            publish(false);
+        }
+    }
+
+    private void publish(boolean reloaded) {
+        Changes changes = new Changes(touchedJobs, touchedBlocks, reloaded);
+        touchedJobs = new HashSet<>();
+        touchedBlocks = new HashSet<>();
+        touchedOther = false;
+        for (Listener listener : listeners) {
+            listener.changed(changes);
+        }
+    }
+
+    private void put(String key, Object value, Revision version) {
+        if (value == null) {
+            versions.remove(key);
+        } else {
+            versions.put(key, version);
+        }
+        try {
+            if (key.startsWith(Keys.JOBS)) {
+                putJob(key.substring(Keys.JOBS.length()), value, version);
+            } else if (key.startsWith(Keys.DONE)) {
+                putDone(key.substring(Keys.DONE.length()), value);
+            } else if (key.startsWith(Keys.BLOCKS)) {
+                putBlock(new BlockId(key.substring(Keys.BLOCKS.length())), value, version);
+            } else if (key.startsWith(Keys.ALLOCATIONS)) {
+                BlockId block = new BlockId(key.substring(Keys.ALLOCATIONS.length()));
+                touchedBlocks.add(block);
+                if (value == null) {
+                    allocations.remove(block);
+                } else {
+                    allocations.put(block, Allocation.read(value, version));
+                }
+            } else {
+                touchedOther = true;
+                putOther(key, value, version);
+            }
+        } catch (BadMessage e) {
+            // A record that cannot be read is left as it was: it must not end the process or pass for another.
+            LOG.error("record {} skipped: {}", key, e.getMessage());
+        }
+    }
+
+    private void putJob(String name, Object value, Revision version) throws BadMessage {
+        JobId id = JobId.parse(name);
+        if (id == null || value == null) {
+            return;
+        }
+        JobRecord record = JobRecord.read(id, value, version);
+        JobRecord before = jobs.put(id, record);
+        if (before != null && before.phase() == JobPhase.OPEN) {
+            open.remove(before);
+        }
+        if (record.phase() == JobPhase.OPEN) {
+            open.add(record);
+        }
+        touchedJobs.add(id);
+    }
+
+
+    private void putDone(String name, Object value) throws BadMessage {
+        int slash = name.indexOf('/');
+        JobId id = slash < 0 ? null : JobId.parse(name.substring(0, slash));
+        if (id == null || name.length() - slash > 6 || !name.substring(slash + 1).matches("[0-9]+")) {
+            throw new BadMessage("bad key");
+        }
+        int chunk = Integer.parseInt(name.substring(slash + 1));
+        touchedJobs.add(id);
+        Map<Integer, TaskSet> chunks = done.computeIfAbsent(id, j -> new LinkedHashMap<>());
+        if (value == null) {
+            chunks.remove(chunk);
+            if (chunks.isEmpty()) {
+                done.remove(id);
+            }
+        } else {
+            chunks.put(chunk, DoneTasks.read(value, chunk));
+        }
+    }
+
+    private void putBlock(BlockId id, Object value, Revision version) throws BadMessage {
+        BlockLease lease = value == null ? null : BlockLease.read(id, value, new Token(version.number()));
+        touchedBlocks.add(id);
+        BlockLease before = lease == null ? blocks.remove(id) : blocks.put(id, lease);
+        if (before != null) {
+            before.machines().keySet().forEach(machine -> blockOf.remove(machine, id));
+        }
+        if (lease != null) {
+            lease.machines().keySet().forEach(machine -> blockOf.put(machine, id));
+        }
+    }
+
+    private void putOther(String key, Object value, Revision version) throws BadMessage {
+        if (key.startsWith(Keys.MEMBERS)) {
+            if (value == null) {
+                members.values().removeIf(member -> Keys.member(member.member()).equals(key));
+            } else {
+                MemberRecord member = member(value, version);
+                members.put(member.member(), member);
+            }
+        } else if (key.equals(Keys.LEADER)) {
+            leader = value == null ? null : member(value, version);
+        } else if (key.startsWith(Keys.TYPES) && value != null) {
+            for (MachineType type : CloudCodec.readCatalog(Fields.of(value, "a machine type"))) {
+                types.put(type.name(), type);
+            }
+        } else if (key.equals(Keys.OPERATOR_SETTINGS)) {
+            operatorSettings = value;
+        }
+    }
+
+    private static MemberRecord member(Object value, Revision version) throws BadMessage {
+        Fields in = Fields.of(value, "a member");
+        return new MemberRecord(new MemberId(in.text("member")), new Incarnation(in.unsigned("life")), in.text("zone"), version);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/quincecross/state/StateClient.java
@@ -0,0 +1,147 @@
+package org.quincecross.state;
+
+import java.util.ArrayDeque;
+import java.util.List;
+import java.util.function.Consumer;
+import org.quincecross.http.HttpRequest;
+import org.quincecross.model.Endpoint;
+import org.quincecross.model.Incarnation;
+import org.quincecross.model.Span;
+import org.quincecross.net.HttpCaller;
+import org.quincecross.net.HttpOutcome;
+import org.quincecross.net.Limiter;
+import org.quincecross.net.Timers;
+import org.quincecross.wire.BadMessage;
+import org.quincecross.wire.Json;
+import org.quincecross.wire.Settings;
+import org.quincecross.wire.StateCodec;
+import org.quincecross.wire.StateCodec.Change;
+import org.quincecross.wire.StateCodec.Guard;
+
+/**
+ * Speaks to the state service and keeps within this controller's share of its limits. What must not wait (lease
+ * renewals, taking over) goes at once and is paid for by what follows.
+ */
+public final class StateClient {
+    private static final Span TIMEOUT = Span.ofSeconds(2.5);
+    private static final Span WAIT_FOR_BUDGET = Span.ofMillis(20);
+    /** The controllers share the limits; all of them are seldom busy at once, so each may use more than its part. */
+    private static final double REQUEST_SHARE = 0.45;
+    private static final double WRITE_SHARE = 0.6;
+
+    private record Waiting(double writes, Runnable send) {
+    }
+
+    private final Timers timers;
+    private final HttpCaller http;
+    private final Endpoint service;
+    private final Limiter requests;
+    private final Limiter writes;
+    private final ArrayDeque<Waiting> waiting = new ArrayDeque<>();
+    private boolean draining;
+
+    public StateClient(Timers timers, HttpCaller http, Endpoint service, Settings.StateLimits limits) {
+        this.timers = timers;
+        this.http = http;
+        this.service = service;
+        double perSecond = limits.requestsPerS() * REQUEST_SHARE;
+        double writesPerSecond = limits.writesPerS() * WRITE_SHARE;
+        requests = new Limiter(perSecond, perSecond * 0.5, timers.now());
+        writes = new Limiter(writesPerSecond, writesPerSecond, timers.now());
+    }
+
+    /** Sends a read that may wait for its turn. */
+    void read(String path, Span timeout, Consumer<HttpOutcome> done) {
+        enqueue(0, () -> send(HttpRequest.get(path), timeout, done));
+    }
+
+    void readNow(String path, Consumer<HttpOutcome> done) {
+        requests.force(1, timers.now());
+        send(HttpRequest.get(path), TIMEOUT, done);
+    }
+
+    void grant(Span ttl, Consumer<HttpOutcome> done) {
+        requests.force(1, timers.now());
+        send(HttpRequest.post(StateCodec.LEASES, StateCodec.writeGrant(ttl.millis())), TIMEOUT, done);
+    }
+
+    void renew(Incarnation lease, Span timeout, Consumer<HttpOutcome> done) {
+        requests.force(1, timers.now());
+        send(HttpRequest.post(StateCodec.renewPath(lease), new byte[0]), timeout, done);
+    }
+
+    void end(Incarnation lease, Consumer<HttpOutcome> done) {
+        requests.force(1, timers.now());
+        send(HttpRequest.delete(StateCodec.leasePath(lease)), TIMEOUT, done);
+    }
+
+    /** Whether a transaction of so many changes could go out at once. */
+    public boolean hasBudget(int changes) {
+        return waiting.isEmpty() && writes.level(timers.now()) >= changes && requests.level(timers.now()) >= 1;
+    }
+
+    /** Sends a transaction when its turn comes. */
+    public void txn(List<Guard> guards, List<Change> changes, Consumer<TxnOutcome> done) {
+        enqueue(changes.size(), () -> sendTxn(guards, changes, done));
+    }
+
+    /** Sends a transaction that must not wait. */
+    public void txnNow(List<Guard> guards, List<Change> changes, Consumer<TxnOutcome> done) {
+        requests.force(1, timers.now());
+        writes.force(changes.size(), timers.now());
+        sendTxn(guards, changes, done);
+    }
+
+    private void sendTxn(List<Guard> guards, List<Change> changes, Consumer<TxnOutcome> done) {
+        HttpRequest request = HttpRequest.post(StateCodec.TXN, StateCodec.writeTxn(guards, changes));
+        send(request, TIMEOUT, outcome -> done.accept(readTxn(outcome)));
+    }
+
+    private static TxnOutcome readTxn(HttpOutcome outcome) {
+        try {
+            return switch (outcome.status()) {
+                case 200 -> new TxnOutcome(TxnOutcome.Kind.COMMITTED,
+                        StateCodec.readRevision(Json.parseFields(outcome.response().body())), List.of());
+                case 409 -> {
+                    var in = Json.parseFields(outcome.response().body());
+                    yield new TxnOutcome(TxnOutcome.Kind.CONFLICT, StateCodec.readRevision(in), StateCodec.readFailed(in));
+                }
+                case 400 -> TxnOutcome.of(TxnOutcome.Kind.NO_LEASE);
+                case 429, 503 -> TxnOutcome.of(TxnOutcome.Kind.REFUSED);
+                default -> TxnOutcome.of(outcome.isUncertain() || outcome.status() != 0
+                        ? TxnOutcome.Kind.UNKNOWN : TxnOutcome.Kind.REFUSED);
+            };
+        } catch (BadMessage e) {
+            return TxnOutcome.of(TxnOutcome.Kind.UNKNOWN);
+        }
+    }
+
+    private void send(HttpRequest request, Span timeout, Consumer<HttpOutcome> done) {
+        http.call(service, request, timeout, outcome -> {
+            if (outcome.status() == 429) {
+                requests.drain(timers.now());
+                writes.drain(timers.now());
+            }
+            done.accept(outcome);
+        });
+    }
+
+    private void enqueue(double cost, Runnable send) {
+        waiting.add(new Waiting(cost, send));
+        drain();
+    }
+
+    private void drain() {
+        while (!waiting.isEmpty() && requests.level(timers.now()) >= 1 && writes.take(waiting.peek().writes(), timers.now())) {
+            requests.force(1, timers.now());
+            waiting.poll().send().run();
+        }
+        if (!waiting.isEmpty() && !draining) {
+            draining = true;
+            timers.after(WAIT_FOR_BUDGET, () -> {
+                draining = false;
+                drain();
+            });
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/quincecross/state/TxnOutcome.java
@@ -0,0 +1,33 @@
+package org.quincecross.state;
+
+import java.util.List;
+import org.quincecross.model.Revision;
+
+/**
+ * What became of a transaction.
+ *
+ * @param revision the revision it made, or at which its conditions failed
+ * @param failed the keys whose conditions failed
+ */
+public record TxnOutcome(Kind kind, Revision revision, List<String> failed) {
+    /** The ways in which a transaction can end. */
+    public enum Kind {
+        COMMITTED,
+        /** A condition failed. */
+        CONFLICT,
+        /** Surely not executed, and may be sent again. */
+        REFUSED,
+        /** The lease in it has ended. */
+        NO_LEASE,
+        /** Not answered: executed, or executed later, or never. */
+        UNKNOWN
+    }
+
+    static TxnOutcome of(Kind kind) {
+        return new TxnOutcome(kind, Revision.NONE, List.of());
+    }
+
+    public boolean committed() {
+        return kind == Kind.COMMITTED;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/quincecross/wire/JobCodec.java
@@ -0,0 +1,107 @@
+package org.quincecross.wire;
+
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import org.quincecross.model.Job;
+import org.quincecross.model.JobId;
+import org.quincecross.model.JobPhase;
+import org.quincecross.model.Rank;
+import org.quincecross.model.Resources;
+import org.quincecross.model.Shape;
+import org.quincecross.model.Span;
+
+/** Jobs as users write them, and what users are told of them. */
+public final class JobCodec {
+    public static final int MOST_TASKS = 100_000;
+    public static final String JOBS = "/v2/runs";
+    public static final String CANCEL = "/cancel";
+    public static final String HEALTH = "/up";
+
+    private static final Map<String, Shape> SHAPES =
+            Map.of("sweep", Shape.ARRAY, "gang", Shape.GANG, "standing", Shape.SERVICE);
+    private static final Map<String, Rank> RANKS =
+            Map.of("critical", Rank.PRODUCTION, "high", Rank.HIGH, "standard", Rank.NORMAL, "idle", Rank.LOW);
+
+    private JobCodec() {
+    }
+
+    /** The id alone, so that a known job can be answered whatever else the body holds. */
+    public static JobId id(Fields in) throws BadMessage {
+        JobId id = JobId.parse(in.text("Uid"));
+        if (id == null) {
+            throw new BadMessage("field Uid is not a job id");
+        }
+        return id;
+    }
+
+    public static Job read(Fields in) throws BadMessage {
+        List<String> types = in.has("Hulls") ? in.texts("Hulls") : null;
+        return new Job(
+                id(in), in.text("Lane"), in.text("Crew"), in.word("Shape", SHAPES), in.word("Rank", RANKS),
+                in.count("Pieces", 1, MOST_TASKS),
+                new Resources(in.positive("Cpus"), in.has("Cards") ? in.amount("Cards") : 0, in.amount("MemGb")),
+                types == null ? null : new LinkedHashSet<>(types), in.textOr("Yard", null),
+                in.flagOr("OneZone", false), in.flagOr("Scatter", false), in.flagOr("Loaners", false),
+                in.text("Bundle"), in.amount("ImageGb"),
+                Span.ofSeconds(in.amount("GuessS")), Span.ofSeconds(in.amount("MarkEveryS")),
+                Span.ofSeconds(in.amount("MarkCostS")),
+                in.has("DueS") ? Span.ofSeconds(in.amount("DueS")) : null);
+    }
+
+    /** The same form again, as the state service keeps it. */
+    public static Map<String, Object> write(Job job) {
+        Map<String, Object> out = Json.object(
+                "Uid", job.id().text(), "Lane", job.jobClass(), "Crew", job.team(),
+                "Shape", name(SHAPES, job.shape()), "Rank", name(RANKS, job.rank()), "Pieces", job.tasks(),
+                "Cpus", job.each().cpus(), "Cards", job.each().gpus(), "MemGb", job.each().memoryGb(),
+                "Bundle", job.image(), "ImageGb", job.imageGb(), "GuessS", job.estimate().seconds(),
+                "MarkEveryS", job.checkpointEvery().seconds(), "MarkCostS", job.saveTime().seconds());
+        if (job.types() != null) {
+            out.put("Hulls", job.types());
+        }
+        if (job.zone() != null) {
+            out.put("Yard", job.zone());
+        }
+        if (job.oneZone()) {
+            out.put("OneZone", true);
+        }
+        if (job.spread()) {
+            out.put("Scatter", true);
+        }
+        if (job.spot()) {
+            out.put("Loaners", true);
+        }
+        if (job.deadline() != null) {
+            out.put("DueS", job.deadline().seconds());
+        }
+        return out;
+    }
+
+    private static <T> String name(Map<String, T> words, T value) {
+        for (Map.Entry<String, T> entry : words.entrySet()) {
+            if (entry.getValue() == value) {
+                return entry.getKey();
+            }
+        }
+        throw new IllegalArgumentException(String.valueOf(value));
+    }
+
+    /** What a user is told of a job. */
+    public static byte[] status(JobId id, JobPhase phase, int done, int running) {
+        String word = switch (phase) {
+            case OPEN -> running > 0 ? "running" : "queued";
+            case DONE -> "done";
+            case CANCELLED -> "cancelled";
+        };
+        return Json.write(Json.object("Uid", id.text(), "Status", word, "done", done, "running", running));
+    }
+
+    public static byte[] accepted(JobId id, JobPhase phase, int running) {
+        return status(id, phase, 0, running);
+    }
+
+    public static byte[] error(String what) {
+        return Json.write(Json.object("error", what));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/quincecross/wire/Settings.java
@@ -0,0 +1,100 @@
+package org.quincecross.wire;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.quincecross.model.Endpoint;
+import org.quincecross.model.MemberId;
+import org.quincecross.model.Resources;
+import org.quincecross.model.Span;
+import org.quincecross.model.Team;
+
+/** The settings file that the platform hands to every controller. */
+public record Settings(
+        MemberId member, String zone, Endpoint listen, Endpoint peerListen, List<Sibling> siblings,
+        Endpoint cloud, Endpoint state, List<String> zones, Map<String, Team> teams, List<Objective> objectives,
+        Workers workers, StateLimits stateLimits, CloudLimits cloudLimits, Quota quota) {
+
+    /** Another controller. */
+    public record Sibling(MemberId member, String zone, Endpoint endpoint) {
+    }
+
+    /** What is expected of a class of jobs; {@code within} and {@code jobClass} may be null. */
+    public record Objective(String kind, String jobClass, Span within, double share) {
+    }
+
+    /** How workers behave. */
+    public record Workers(Span report, Span lease, Span gangWait, Span gangPeer, Span cancel) {
+    }
+
+    /** What the state service allows all controllers together. */
+    public record StateLimits(double requestsPerS, double writesPerS, int valueBytes, int txnChanges) {
+    }
+
+    /** What the cloud allows, and how late its list is. */
+    public record CloudLimits(double requestsPerS, Span listLag) {
+    }
+
+    /** What this process may use. */
+    public record Quota(double cpuShare, double memoryMb, int sockets) {
+    }
+
+    public static Settings read(byte[] bytes) throws BadMessage {
+        Fields in = Fields.of(Json.parse(bytes), "the settings");
+        Fields external = in.fields("external");
+        Fields params = in.fields("params");
+        List<Sibling> siblings = new ArrayList<>();
+        for (Fields sibling : in.objects("siblings")) {
+            siblings.add(new Sibling(new MemberId(sibling.text("member")), sibling.text("site"), endpoint(sibling, "endpoint")));
+        }
+        Map<String, Team> teams = new LinkedHashMap<>();
+        for (Fields team : params.objects("teams")) {
+            double unlimited = Double.POSITIVE_INFINITY;
+            Team read = new Team(team.text("name"), new Resources(team.amount("cpus"), team.amount("gpus"), unlimited),
+                    new Resources(orUnlimited(team.amount("cpus_max")), orUnlimited(team.amount("gpus_max")), unlimited));
+            teams.put(read.name(), read);
+        }
+        List<Objective> objectives = new ArrayList<>();
+        for (Object item : params.listOrEmpty("objectives")) {
+            Fields objective = Fields.of(item, "an item of objectives");
+            objectives.add(new Objective(objective.text("kind"), objective.textOr("class", null),
+                    objective.has("within_s") ? Span.ofSeconds(objective.amount("within_s")) : null,
+                    objective.has("share") ? objective.amount("share") : 1));
+        }
+        Fields workers = params.fields("workers");
+        Fields state = params.fields("state");
+        Fields cloud = params.fields("cloud");
+        Fields quota = params.fields("quota");
+        return new Settings(
+                new MemberId(in.text("member")), in.text("site"), endpoint(in, "listen"), endpoint(in, "peer_bind"),
+                List.copyOf(siblings), endpoint(external, "cloud"), endpoint(external, "state"),
+                List.copyOf(params.texts("zones")), teams, List.copyOf(objectives),
+                new Workers(span(workers, "report_s"), span(workers, "lease_s"), span(workers, "gang_wait_s"),
+                        span(workers, "gang_peer_s"), span(workers, "cancel_s")),
+                new StateLimits(state.positive("rps"), state.positive("write_rps"),
+                        (int) (state.positive("value_kb") * 1024), state.count("txn_ops", 1, 100_000)),
+                new CloudLimits(cloud.positive("rps"), Span.ofSeconds(cloud.amount("list_lag_s"))),
+                new Quota(quota.positive("cpu"), quota.positive("ram_mb"), quota.count("fd_limit", 16, 10_000_000)));
+    }
+
+    private static double orUnlimited(double value) {
+        return value == 0 ? Double.POSITIVE_INFINITY : value;
+    }
+
+    private static Endpoint endpoint(Fields in, String name) throws BadMessage {
+        Endpoint endpoint = Endpoint.parse(in.text(name));
+        if (endpoint == null) {
+            throw new BadMessage("field " + name + " is not an IPv4 address and a port");
+        }
+        return endpoint;
+    }
+
+    private static Span span(Fields in, String name) throws BadMessage {
+        double seconds = in.positive(name);
+        if (seconds > 86_400) {
+            throw new BadMessage("field " + name + " is longer than a day");
+        }
+        return Span.ofSeconds(seconds);
+    }
+}
