Leader: no guards on jobs with allocations; transactions as large as the budget is now

Cause: a transaction carried one condition per admitted job and overran the service's four conditions per change; it was refused with 400 and planned again for ever.

--- a/src/main/java/org/quincecross/leader/Leader.java
+++ b/src/main/java/org/quincecross/leader/Leader.java
@@ -56,6 +56,7 @@
     private static final int BLOCK_SIZE = 6;
     private static final Span REBALANCE_EVERY = Span.ofSeconds(6);
     private static final Span REPORT_FRESH = Span.ofSeconds(2.5);
+    private static final int LEAST_CHANGES = 2;
     private static final int MOST_TASKS_IN_BLOCK = 150;
 
     /** The states of a controller with regard to leading. */
@@ -78,6 +79,7 @@
     private Revision awaited = Revision.NONE;
     private SteadyTime rebalanced;
     private boolean stepPlanned;
+    private boolean resultsFirst;
 
     public Leader(Timers timers, StateClient client, Ledger ledger, Follower follower, Membership membership,
             Settings settings, Fleet fleet) {
@@ -226,15 +228,24 @@
 
     private void lead() {
         fleet.lead(this::fleetView);
-        if (!client.hasBudget(1)) {
+        // As large as the budget is now: a transaction that waits for its turn is out of date when it goes out.
+        int changes = Math.min(settings.stateLimits().txnChanges(), client.changesAffordable());
+        if (changes < LEAST_CHANGES) {
             return;
         }
-        TxnPlan plan = new TxnPlan(ledger, settings.stateLimits().txnChanges(), settings.stateLimits().valueBytes() - 64);
+        TxnPlan plan = new TxnPlan(ledger, changes, settings.stateLimits().valueBytes() - 64);
         plan.guard(Keys.LEADER);
         planTypes(plan);
         Set<BlockId> leased = planLeases(plan);
-        planResults(plan);
+        // Neither results nor starts may crowd the other out of a small budget.
+        resultsFirst = !resultsFirst;
+        if (resultsFirst) {
+            planResults(plan);
+        }
         planAllocations(plan, leased);
+        if (!resultsFirst) {
+            planResults(plan);
+        }
         if (!plan.isEmpty()) {
             write(plan.guards(), plan.changes(), false);
         }
@@ -513,8 +524,8 @@
                 next.put(job, all);
             });
             Map<String, Object> value = Allocation.write(next);
-            if (plan.fits(value) && plan.put(Keys.allocation(block.id()), value)) {
-                block.admitted().keySet().forEach(job -> plan.guard(Keys.job(job)));
+            if (plan.fits(value)) {
+                plan.put(Keys.allocation(block.id()), value);
             }
         }
     }
--- a/src/main/java/org/quincecross/state/StateClient.java
+++ b/src/main/java/org/quincecross/state/StateClient.java
@@ -1,5 +1,6 @@
 package org.quincecross.state;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.List;
 import java.util.function.Consumer;
@@ -17,12 +18,15 @@
 import org.quincecross.wire.StateCodec;
 import org.quincecross.wire.StateCodec.Change;
 import org.quincecross.wire.StateCodec.Guard;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Speaks to the state service and keeps within this controller's share of its limits. What must not wait (lease
  * renewals, taking over) goes at once and is paid for by what follows.
  */
 public final class StateClient {
+    private static final Logger LOG = LoggerFactory.getLogger(StateClient.class);
     private static final Span TIMEOUT = Span.ofSeconds(2.5);
     private static final Span WAIT_FOR_BUDGET = Span.ofMillis(20);
     /** The controllers share the limits; all of them are seldom busy at once, so each may use more than its part. */
@@ -37,7 +41,8 @@
     private final Endpoint service;
     private final Limiter requests;
     private final Limiter writes;
-    private final ArrayDeque<Waiting> waiting = new ArrayDeque<>();
+    private final ArrayDeque<Waiting> waitingReads = new ArrayDeque<>();
+    private final ArrayDeque<Waiting> waitingTxns = new ArrayDeque<>();
     private boolean draining;
 
     public StateClient(Timers timers, HttpCaller http, Endpoint service, Settings.StateLimits limits) {
@@ -52,7 +57,7 @@
 
     /** Sends a read that may wait for its turn. */
     void read(String path, Span timeout, Consumer<HttpOutcome> done) {
-        enqueue(0, () -> send(HttpRequest.get(path), timeout, done));
+        enqueue(waitingReads, 0, () -> send(HttpRequest.get(path), timeout, done));
     }
 
     void readNow(String path, Consumer<HttpOutcome> done) {
@@ -75,14 +80,15 @@
         send(HttpRequest.delete(StateCodec.leasePath(lease)), TIMEOUT, done);
     }
 
-    /** Whether a transaction of so many changes could go out at once. */
-    public boolean hasBudget(int changes) {
-        return waiting.isEmpty() && writes.level(timers.now()) >= changes && requests.level(timers.now()) >= 1;
+    /** How many changes a transaction could make that goes out at once. */
+    public int changesAffordable() {
+        boolean busy = !waitingTxns.isEmpty() || requests.level(timers.now()) < 1;
+        return busy ? 0 : (int) Math.max(0, writes.level(timers.now()));
     }
 
     /** Sends a transaction when its turn comes. */
     public void txn(List<Guard> guards, List<Change> changes, Consumer<TxnOutcome> done) {
-        enqueue(changes.size(), () -> sendTxn(guards, changes, done));
+        enqueue(waitingTxns, changes.size(), () -> sendTxn(guards, changes, done));
     }
 
     /** Sends a transaction that must not wait. */
@@ -106,7 +112,10 @@
                     var in = Json.parseFields(outcome.response().body());
                     yield new TxnOutcome(TxnOutcome.Kind.CONFLICT, StateCodec.readRevision(in), StateCodec.readFailed(in));
                 }
-                case 400 -> TxnOutcome.of(TxnOutcome.Kind.NO_LEASE);
+                case 400 -> {
+                    LOG.info("transaction refused: {}", new String(outcome.response().body(), StandardCharsets.UTF_8));
+                    yield TxnOutcome.of(TxnOutcome.Kind.NO_LEASE);
+                }
                 case 429, 503 -> TxnOutcome.of(TxnOutcome.Kind.REFUSED);
                 default -> TxnOutcome.of(outcome.isUncertain() || outcome.status() != 0
                         ? TxnOutcome.Kind.UNKNOWN : TxnOutcome.Kind.REFUSED);
@@ -126,17 +135,16 @@
         });
     }
 
-    private void enqueue(double cost, Runnable send) {
-        waiting.add(new Waiting(cost, send));
+    private void enqueue(ArrayDeque<Waiting> queue, double changes, Runnable send) {
+        queue.add(new Waiting(changes, send));
         drain();
     }
 
     private void drain() {
-        while (!waiting.isEmpty() && requests.level(timers.now()) >= 1 && writes.take(waiting.peek().writes(), timers.now())) {
-            requests.force(1, timers.now());
-            waiting.poll().send().run();
-        }
-        if (!waiting.isEmpty() && !draining) {
+        // Reads do not wait behind a transaction that is short of changes.
+        drain(waitingReads);
+        drain(waitingTxns);
+        if (!draining && !(waitingReads.isEmpty() && waitingTxns.isEmpty())) {
             draining = true;
             timers.after(WAIT_FOR_BUDGET, () -> {
                 draining = false;
@@ -144,4 +152,12 @@
             });
         }
     }
+
+    private void drain(ArrayDeque<Waiting> queue) {
+        while (!queue.isEmpty() && requests.level(timers.now()) >= 1
+                && (queue.peek().writes() == 0 || writes.take(queue.peek().writes(), timers.now()))) {
+            requests.force(1, timers.now());
+            queue.poll().send().run();
+        }
+    }
 }
