Keep whole machines for large work; earliest due first; no start that the ledger forbids

Cause 1: services and small arrays spread over every GPU machine, and gangs that need most of one waited behind them, while a reserve on all of them left no room for services. Now so many machines are kept whole as large work waits for, and two.

--- a/src/main/java/org/quincecross/api/Controller.java
+++ b/src/main/java/org/quincecross/api/Controller.java
@@ -10,6 +10,7 @@
 import org.quincecross.http.HttpResponse;
 import org.quincecross.leader.Fleet;
 import org.quincecross.leader.Leader;
+import org.quincecross.model.BlockId;
 import org.quincecross.model.JobId;
 import org.quincecross.model.MemberId;
 import org.quincecross.model.Span;
@@ -19,7 +20,9 @@
 import org.quincecross.net.Timers;
 import org.quincecross.peer.PeerCodec;
 import org.quincecross.peer.PeerReport;
+import org.quincecross.sched.Reserve;
 import org.quincecross.state.Follower;
+import org.quincecross.state.LargeWork;
 import org.quincecross.state.Ledger;
 import org.quincecross.state.Membership;
 import org.quincecross.state.StateClient;
@@ -49,6 +52,7 @@
     private final Settings settings;
     private final PeerSender peers;
     private final Ledger ledger = new Ledger();
+    private final LargeWork largeWork = new LargeWork(ledger);
     private final Follower follower;
     private final Membership membership;
     private final Holdings holdings;
@@ -72,7 +76,7 @@
         membership = new Membership(timers, client, settings.member(), settings.zone());
         holdings = new Holdings(this, settings.member(), membership::life);
         fleet = new Fleet(timers, http, ledger, settings, membership::life);
-        leader = new Leader(timers, client, ledger, follower, membership, settings, fleet);
+        leader = new Leader(timers, client, ledger, follower, membership, settings, fleet, largeWork, clockMs);
         users = new UserApi(timers, ledger, follower, client, settings, this::running, clockMs);
         agents = new AgentApi(timers, ledger, holdings, leader, settings.member());
         longestUnconfirmed = longestUnconfirmed(settings.workers());
@@ -200,6 +204,11 @@
         return ledger;
     }
 
+    @Override
+    public Reserve reserve(BlockId block) {
+        return largeWork.of(block, timers.now());
+    }
+
     @Override
     public Settings.Workers workers() {
         return settings.workers();
--- a/src/main/java/org/quincecross/block/BlockHolder.java
+++ b/src/main/java/org/quincecross/block/BlockHolder.java
@@ -204,10 +204,22 @@
         }
     }
 
+    /**
+     * Whether the ledger lets a task start. Asked where a task enters a queue and again where it leaves one: what
+     * became free to start since the ledger last changed (a block that has just been settled) may have been cancelled
+     * long before.
+     */
+    private boolean mayStart(Placement placement) {
+        TaskId task = placement.task();
+        JobRecord job = context.ledger().job(task.job());
+        return job != null && job.phase() == JobPhase.OPEN && !context.ledger().isDone(task.job(), task.index())
+                && context.ledger().allocation(id()).has(task.job(), task.index());
+    }
+
     /** Puts what waits into queues; a gang as a whole, once all of its tasks wait. */
     private void enqueueWaiting() {
         for (Placement placement : placements.values()) {
-            if (placement.state() != Placement.State.WAITING || entries.containsKey(placement.task())) {
+            if (placement.state() != Placement.State.WAITING || entries.containsKey(placement.task()) || !mayStart(placement)) {
                 continue;
             }
             Job job = placement.job();
@@ -307,9 +319,7 @@
         boolean ours = placement.isBoundTo(machine, piece.attempt());
         if (piece.state() != TaskState.EXITED) {
             boolean hasImage = piece.state() != TaskState.FETCHING;
-            if (hasImage) {
-                session.usedImage(placement.job().image(), placement.job().imageGb());
-            }
+            session.usedImage(placement.job().image(), placement.job().imageGb());
             if (ours || placement.state() == Placement.State.UNSETTLED) {
                 placement.reported(machine, piece.attempt(), hasImage && piece.state() != TaskState.WAITING, now);
                 if (placement.isRunning() && now.since(placement.runningSince()).isMoreThan(Span.ofSeconds(10))) {
@@ -468,12 +478,19 @@
         for (Session session : sessions.values()) {
             scheduler.update(session.machine().id(), used(session), isOpen(session));
         }
+        scheduler.reserve(context.reserve(id()));
         for (BlockScheduler.Start start : scheduler.schedule(now)) {
+            start.entry().tasks().forEach(entries::remove);
+            if (!start.entry().tasks().stream().allMatch(task -> mayStart(placements.get(task)))) {
+                continue;
+            }
             Attempt attempt = new Attempt((token().number() << ATTEMPT_BITS) + ++attempts);
             for (int i = 0; i < start.machines().size(); i++) {
-                TaskId task = start.entry().tasks().get(i);
-                entries.remove(task);
-                placements.get(task).start(start.machines().get(i), attempt, now);
+                Placement placement = placements.get(start.entry().tasks().get(i));
+                MachineId machine = start.machines().get(i);
+                placement.start(machine, attempt, now);
+                // The machine fetches the image for all tasks that need it, so the next of them is at home there too.
+                sessions.get(machine).usedImage(placement.job().image(), placement.job().imageGb());
             }
         }
         makeRoom(now);
--- a/src/main/java/org/quincecross/block/HolderContext.java
+++ b/src/main/java/org/quincecross/block/HolderContext.java
@@ -1,9 +1,11 @@
 package org.quincecross.block;
 
+import org.quincecross.model.BlockId;
 import org.quincecross.model.Span;
 import org.quincecross.model.SteadyTime;
 import org.quincecross.net.HttpCaller;
 import org.quincecross.net.Timers;
+import org.quincecross.sched.Reserve;
 import org.quincecross.state.Ledger;
 import org.quincecross.wire.Settings;
 
@@ -15,6 +17,9 @@
 
     Ledger ledger();
 
+    /** What a block should keep free for large work. */
+    Reserve reserve(BlockId block);
+
     Settings.Workers workers();
 
     /** Whether the ledger is recent enough for this controller to give commands and renew leases. */
--- a/src/main/java/org/quincecross/leader/Fleet.java
+++ b/src/main/java/org/quincecross/leader/Fleet.java
@@ -23,7 +23,6 @@
 import org.quincecross.net.Timers;
 import org.quincecross.peer.PeerReport;
 import org.quincecross.sched.Admission;
-import org.quincecross.state.JobRecord;
 import org.quincecross.state.Ledger;
 import org.quincecross.wire.CloudCodec;
 import org.quincecross.wire.Settings;
@@ -128,20 +127,6 @@
         unmet = now;
     }
 
-    /** The most that an open task with GPUs takes of a machine of this type. */
-    Resources largestGpuTask(MachineType type, Iterable<JobRecord> jobs) {
-        Resources most = Resources.NONE;
-        for (JobRecord record : jobs) {
-            Job job = record.job();
-            if (job.each().gpus() > 0 && job.each().fitsIn(type.capacity())
-                    && (job.types() == null || job.types().contains(type.name()))) {
-                most = new Resources(Math.max(most.cpus(), job.each().cpus()), Math.max(most.gpus(), job.each().gpus()),
-                        Math.max(most.memoryGb(), job.each().memoryGb()));
-            }
-        }
-        return most;
-    }
-
     private void tick() {
         if (!leading || view == null) {
             return;
--- a/src/main/java/org/quincecross/leader/Leader.java
+++ b/src/main/java/org/quincecross/leader/Leader.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.LongSupplier;
 import org.quincecross.model.BlockId;
 import org.quincecross.model.Job;
 import org.quincecross.model.JobId;
@@ -26,12 +27,14 @@
 import org.quincecross.net.Timers;
 import org.quincecross.peer.PeerReport;
 import org.quincecross.sched.Admission;
+import org.quincecross.sched.Reserve;
 import org.quincecross.state.Allocation;
 import org.quincecross.state.BlockLease;
 import org.quincecross.state.DoneTasks;
 import org.quincecross.state.Follower;
 import org.quincecross.state.JobRecord;
 import org.quincecross.state.Keys;
+import org.quincecross.state.LargeWork;
 import org.quincecross.state.Ledger;
 import org.quincecross.state.MemberRecord;
 import org.quincecross.state.Membership;
@@ -56,6 +59,8 @@
     private static final int BLOCK_SIZE = 6;
     private static final Span REBALANCE_EVERY = Span.ofSeconds(6);
     private static final Span REPORT_FRESH = Span.ofSeconds(2.5);
+    /** A job that nobody waits for by a certain time comes after those of about an hour's patience. */
+    private static final double NO_DEADLINE_S = 3600;
     private static final int LEAST_CHANGES = 2;
     private static final int MOST_TASKS_IN_BLOCK = 150;
 
@@ -72,6 +77,8 @@
     private final Membership membership;
     private final Settings settings;
     private final Fleet fleet;
+    private final LargeWork largeWork;
+    private final LongSupplier clockMs;
     private final Map<MemberId, Heard> heard = new HashMap<>();
     private final Map<MachineId, Machine> newcomers = new LinkedHashMap<>();
     private State state = State.FOLLOWING;
@@ -82,7 +89,7 @@
     private boolean resultsFirst;
 
     public Leader(Timers timers, StateClient client, Ledger ledger, Follower follower, Membership membership,
-            Settings settings, Fleet fleet) {
+            Settings settings, Fleet fleet, LargeWork largeWork, LongSupplier clockMs) {
         this.timers = timers;
         this.client = client;
         this.ledger = ledger;
@@ -90,6 +97,8 @@
         this.membership = membership;
         this.settings = settings;
         this.fleet = fleet;
+        this.largeWork = largeWork;
+        this.clockMs = clockMs;
         this.rebalanced = timers.now();
     }
 
@@ -489,6 +498,7 @@
             held.put(id, stillHeld(id, dirty));
         }
         List<Admission.Block> blocks = new ArrayList<>();
+        Map<BlockId, Reserve> reserves = new HashMap<>();
         Map<String, Resources> teamUse = new HashMap<>();
         Map<JobId, Map<String, Integer>> perZone = new HashMap<>();
         Map<JobId, TaskSet> out = new HashMap<>();
@@ -508,10 +518,11 @@
                 Admission.Block block = admissionBlock(lease);
                 held.getOrDefault(lease.id(), Map.of()).forEach((id, tasks) -> block.count(ledger.job(id).job(), tasks.size()));
                 blocks.add(block);
+                reserves.put(lease.id(), largeWork.of(lease.id(), timers.now()));
             }
         }
         List<Admission.Demand> demands = demands(out, perZone);
-        Admission admission = new Admission(blocks, settings.teams(), teamUse, keptForGpus(), MOST_TASKS_IN_BLOCK);
+        Admission admission = new Admission(blocks, settings.teams(), teamUse, reserves, MOST_TASKS_IN_BLOCK);
         fleet.unmet(admission.run(demands));
         for (Admission.Block block : blocks) {
             if (block.admitted().isEmpty() && !dirty.contains(block.id())) {
@@ -602,22 +613,26 @@
                 }
             }
             if (!pool.isEmpty()) {
-                demands.add(new Admission.Demand(job, record.version(), within, pool,
+                demands.add(new Admission.Demand(job, record.version(), dueS(record), within, pool,
                         perZone.getOrDefault(job.id(), Map.of())));
             }
         }
         return demands;
     }
 
-    /** What work that needs GPUs asks of each machine type that has them, so that other work leaves it room. */
-    private Map<String, Resources> keptForGpus() {
-        Map<String, Resources> kept = new HashMap<>();
-        for (MachineType type : ledger.types().values()) {
-            if (type.capacity().gpus() > 0) {
-                kept.put(type.name(), fleet.largestGpuTask(type, ledger.openJobs()));
+    /** Seconds until a job should be over, by its own deadline or by what is expected of its class. */
+    private double dueS(JobRecord record) {
+        double age = (clockMs.getAsLong() - record.acceptedMs()) / 1000.0;
+        if (record.job().deadline() != null) {
+            return record.job().deadline().seconds() - age;
+        }
+        double due = NO_DEADLINE_S - age;
+        for (Settings.Objective objective : settings.objectives()) {
+            if (record.job().jobClass().equals(objective.jobClass()) && objective.within() != null) {
+                due = Math.min(due, objective.within().seconds() - age);
             }
         }
-        return kept;
+        return due;
     }
 
     private Fleet.View fleetView() {
--- a/src/main/java/org/quincecross/sched/Admission.java
+++ b/src/main/java/org/quincecross/sched/Admission.java
@@ -86,8 +86,14 @@
         }
     }
 
-    /** An open job with tasks in the pool, and how many of its tasks are already in each zone. */
-    public record Demand(Job job, Revision accepted, boolean guaranteed, TaskSet pool, Map<String, Integer> perZone) {
+    /**
+     * An open job with tasks in the pool.
+     *
+     * @param dueS seconds until it should be over; below 0, what is late already
+     * @param perZone how many of its tasks are in each zone
+     */
+    public record Demand(Job job, Revision accepted, double dueS, boolean guaranteed, TaskSet pool,
+            Map<String, Integer> perZone) {
     }
 
     /** Tasks of a job for which there was no block. */
@@ -97,19 +103,19 @@
     private final List<Block> blocks;
     private final Map<String, Team> teams;
     private final Map<String, Resources> teamUse;
-    private final Map<String, Resources> kept;
+    private final Map<BlockId, Reserve> reserves;
     private final int mostTasksInBlock;
 
     /**
      * @param teamUse what the tasks of each team take that are not proven gone
-     * @param kept for machine types with GPUs: what is kept free on each for the work that needs them
+     * @param reserves what blocks keep free for large work
      */
     public Admission(List<Block> blocks, Map<String, Team> teams, Map<String, Resources> teamUse,
-            Map<String, Resources> kept, int mostTasksInBlock) {
+            Map<BlockId, Reserve> reserves, int mostTasksInBlock) {
         this.blocks = blocks;
         this.teams = teams;
         this.teamUse = new HashMap<>(teamUse);
-        this.kept = kept;
+        this.reserves = reserves;
         this.mostTasksInBlock = mostTasksInBlock;
     }
 
@@ -120,6 +126,8 @@
                 .comparing((Demand demand) -> demand.job().rank() != Rank.PRODUCTION)
                 .thenComparing(demand -> !demand.guaranteed())
                 .thenComparing(demand -> demand.job().rank(), Comparator.reverseOrder())
+                .thenComparing(demand -> demand.dueS() < 0)
+                .thenComparing(Demand::dueS)
                 .thenComparing(Demand::accepted)
                 .thenComparing(demand -> demand.job().id()));
         List<Unmet> unmet = new ArrayList<>();
@@ -206,12 +214,11 @@
         if (block.taskCount + tasks > mostTasksInBlock || block.machines == 0) {
             return false;
         }
-        Resources capacity = block.capacity;
-        if (job.each().gpus() == 0 && kept.containsKey(block.type)) {
-            double machines = job.shape() == Shape.SERVICE ? block.machines : (block.machines + 1) / 2;
-            capacity = capacity.minus(kept.get(block.type).times(machines));
-        } else if (job.shape() == Shape.ARRAY) {
-            capacity = capacity.times(QUEUE_AHEAD);
+        Resources capacity = job.shape() == Shape.ARRAY ? block.capacity.times(QUEUE_AHEAD) : block.capacity;
+        Reserve reserve = reserves.getOrDefault(block.id, Reserve.NONE);
+        if (reserve.machines() > 0 && !Reserve.isLarge(job, block.capacity.times(1.0 / block.machines))) {
+            // What large work runs there already is part of what is used.
+            capacity = block.capacity.minus(reserve.total());
         }
         Resources room = capacity.minus(block.usedFrom(job.rank()));
         return job.each().times(tasks).fitsIn(room)
--- a/src/main/java/org/quincecross/sched/BlockScheduler.java
+++ b/src/main/java/org/quincecross/sched/BlockScheduler.java
@@ -28,6 +28,7 @@
 
     private final Map<MachineId, MachineQueue> machines = new LinkedHashMap<>();
     private final Map<Entry, MachineQueue> queueOf = new HashMap<>();
+    private Reserve reserve = Reserve.NONE;
 
     public void addMachine(MachineId machine, Resources capacity, Predicate<String> hasImage) {
         machines.put(machine, new MachineQueue(machine, capacity, hasImage));
@@ -45,6 +46,30 @@
         }
     }
 
+    /** Says what is to be kept free for large work. */
+    public void reserve(Reserve toKeep) {
+        reserve = toKeep;
+    }
+
+    /** Whether a task of {@code entry} would leave a machine that has room for large work without it. */
+    private boolean breaksUp(MachineQueue machine, Entry entry) {
+        return reserve.machines() > 0 && !Reserve.isLarge(entry.job(), machine.capacity())
+                && reserve.each().fitsIn(machine.free())
+                && !reserve.each().fitsIn(machine.free().minus(entry.job().each()));
+    }
+
+    private boolean mayStartOn(MachineQueue machine, Entry entry) {
+        if (!machine.fitsNow(entry)) {
+            return false;
+        }
+        if (!breaksUp(machine, entry)) {
+            return true;
+        }
+        long whole = machines.values().stream()
+                .filter(other -> other.isOpen() && reserve.each().fitsIn(other.free())).count();
+        return whole > reserve.machines();
+    }
+
     public Collection<MachineQueue> machines() {
         return machines.values();
     }
@@ -77,10 +102,11 @@
     }
 
     /** Which machine new work goes to: one that has room now, the image and the better fit, else the shortest queue. */
-    private static Comparator<MachineQueue> entryOrder(Entry entry) {
+    private Comparator<MachineQueue> entryOrder(Entry entry) {
         return Comparator
                 .comparing((MachineQueue machine) -> !machine.isOpen() || entry.avoided().contains(machine.machine()))
                 .thenComparing(machine -> !(machine.fitsNow(entry) && machine.waiting().isEmpty()))
+                .thenComparing(machine -> breaksUp(machine, entry))
                 .thenComparing(machine -> machine.fitsNow(entry) && !machine.hasImage(entry))
                 .thenComparing(MachineQueue::load)
                 .thenComparing(machine -> machine.fit(entry))
@@ -202,14 +228,14 @@
         if (head == null) {
             return false;
         }
-        if (!isGang(head) && machine.fitsNow(head)) {
+        if (!isGang(head) && mayStartOn(machine, head)) {
             start(head, List.of(machine), starts);
             return true;
         }
         Entry best = null;
         for (Entry entry : machine.waiting()) {
             if (entry != head && !isGang(entry) && entry.isReady(now) && entry.counter() >= head.counter()
-                    && machine.fitsNow(entry) && (best == null || better(machine, entry, best))) {
+                    && mayStartOn(machine, entry) && (best == null || better(machine, entry, best))) {
                 best = entry;
             }
         }
@@ -247,7 +273,7 @@
         for (MachineQueue neighbour : neighbours) {
             Entry best = null;
             for (Entry entry : neighbour.waiting()) {
-                if (!isGang(entry) && entry.isReady(now) && asker.fitsNow(entry)
+                if (!isGang(entry) && entry.isReady(now) && mayStartOn(asker, entry)
                         && (head == null || entry.counter() <= head.counter())
                         && (best == null || better(asker, entry, best))) {
                     best = entry;
--- /dev/null
+++ b/src/main/java/org/quincecross/state/LargeWork.java
@@ -0,0 +1,99 @@
+package org.quincecross.state;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.quincecross.model.BlockId;
+import org.quincecross.model.Job;
+import org.quincecross.model.JobId;
+import org.quincecross.model.MachineType;
+import org.quincecross.model.Resources;
+import org.quincecross.model.Revision;
+import org.quincecross.model.Span;
+import org.quincecross.model.SteadyTime;
+import org.quincecross.sched.Reserve;
+
+/** Watches for large work and says what each block should keep free for it, that which has not come yet included. */
+public final class LargeWork {
+    /** Work of a kind that came lately comes again. */
+    private static final Span REMEMBERED = Span.ofSeconds(300);
+    /** Whole machines kept beyond those that waiting work needs, as long as such work is about. */
+    private static final int SPARE = 2;
+
+    private record Kind(String type, boolean spot) {
+    }
+
+    private record Seen(Resources each, SteadyTime at) {
+    }
+
+    private final Ledger ledger;
+    private final Map<Kind, Seen> seen = new HashMap<>();
+    private final Map<BlockId, Reserve> reserves = new HashMap<>();
+    private Revision computedAt = Revision.NONE;
+
+    public LargeWork(Ledger ledger) {
+        this.ledger = ledger;
+    }
+
+    public Reserve of(BlockId block, SteadyTime now) {
+        if (!computedAt.equals(ledger.revision())) {
+            compute(now);
+            computedAt = ledger.revision();
+        }
+        return reserves.getOrDefault(block, Reserve.NONE);
+    }
+
+    private void compute(SteadyTime now) {
+        reserves.clear();
+        Set<JobId> allocated = new HashSet<>();
+        for (BlockId block : ledger.allocatedBlocks()) {
+            allocated.addAll(ledger.allocation(block).tasks().keySet());
+        }
+        Map<Kind, Integer> waiting = new HashMap<>();
+        for (JobRecord record : ledger.openJobs()) {
+            for (MachineType type : ledger.types().values()) {
+                look(record.job(), type, !allocated.contains(record.id()), waiting, now);
+            }
+        }
+        seen.values().removeIf(large -> now.since(large.at()).isMoreThan(REMEMBERED));
+        seen.forEach((kind, large) -> share(kind, large, waiting.getOrDefault(kind, 0) + SPARE));
+    }
+
+    private void look(Job job, MachineType type, boolean waits, Map<Kind, Integer> waiting, SteadyTime now) {
+        if (!Reserve.isLarge(job, type.capacity()) || job.types() != null && !job.types().contains(type.name())) {
+            return;
+        }
+        for (boolean spot : job.spot() ? new boolean[] {true, false} : new boolean[] {false}) {
+            Kind kind = new Kind(type.name(), spot);
+            Resources each = job.each();
+            Seen before = seen.get(kind);
+            if (before != null) {
+                each = new Resources(Math.max(each.cpus(), before.each().cpus()), Math.max(each.gpus(), before.each().gpus()),
+                        Math.max(each.memoryGb(), before.each().memoryGb()));
+            }
+            seen.put(kind, new Seen(each, now));
+            if (waits) {
+                waiting.merge(kind, job.tasks(), Integer::sum);
+            }
+        }
+    }
+
+    /** Divides so many whole machines among the blocks of a kind, by their size. */
+    private void share(Kind kind, Seen large, int machines) {
+        int all = 0;
+        for (BlockLease block : ledger.blocks().values()) {
+            all += isOf(block, kind) ? block.machines().size() : 0;
+        }
+        for (BlockLease block : ledger.blocks().values()) {
+            if (isOf(block, kind)) {
+                int share = (int) Math.ceil((double) machines * block.machines().size() / all);
+                reserves.put(block.id(), new Reserve(large.each(), Math.min(share, block.machines().size())));
+            }
+        }
+    }
+
+    private static boolean isOf(BlockLease block, Kind kind) {
+        return block.type().equals(kind.type()) && block.spot() == kind.spot();
+    }
+}
