--- /dev/null
+++ b/src/test/java/org/quincecross/sched/AdmissionTest.java
@@ -0,0 +1,93 @@
+package org.quincecross.sched;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.From;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.constraints.Size;
+import org.quincecross.model.BlockId;
+import org.quincecross.model.Job;
+import org.quincecross.model.JobId;
+import org.quincecross.model.Rank;
+import org.quincecross.model.Resources;
+import org.quincecross.model.Revision;
+import org.quincecross.model.Shape;
+import org.quincecross.model.Span;
+import org.quincecross.model.TaskSet;
+import org.quincecross.model.Team;
+
+class AdmissionTest {
+    private static final Team TEAM = new Team("t", new Resources(20, 0, 1e9), new Resources(40, Double.POSITIVE_INFINITY, 1e9));
+
+    @Provide
+    static Arbitrary<Job> jobs() {
+        return Combinators.combine(Arbitraries.integers().between(1, 99_999), Arbitraries.of(Shape.class),
+                Arbitraries.of(Rank.class), Arbitraries.integers().between(1, 9), Arbitraries.integers().between(1, 6),
+                Arbitraries.of("", "one", "spread"), Arbitraries.of(true, false), Arbitraries.of("a", "b", "c").injectNull(0.7))
+                .as((number, shape, rank, tasks, cpus, rule, spot, zone) -> new Job(new JobId("job-" + number), "c", "t", shape,
+                        rank, tasks, new Resources(cpus, 0, 1), null, zone, rule.equals("one"), rule.equals("spread"), spot,
+                        "i", 1, Span.ZERO, Span.ZERO, Span.ZERO, null));
+    }
+
+    @Property(tries = 400, seed = "11")
+    void keepsLimitsZonesAndKinds(@ForAll @Size(max = 12) List<@From("jobs") Job> jobs) {
+        List<Admission.Block> blocks = new ArrayList<>();
+        Map<BlockId, String> zoneOf = new HashMap<>();
+        for (String zone : List.of("a", "b", "c")) {
+            for (boolean spot : new boolean[] {true, false}) {
+                BlockId id = new BlockId(zone + spot);
+                zoneOf.put(id, zone);
+                blocks.add(new Admission.Block(id, "m", zone, spot, new Resources(16, 0, 64), 2, Set.of()));
+            }
+        }
+        List<Admission.Demand> demands = new ArrayList<>();
+        Map<JobId, Job> byId = new HashMap<>();
+        for (Job job : jobs) {
+            if (byId.put(job.id(), job) == null) {
+                TaskSet all = new TaskSet();
+                for (int i = 0; i < job.tasks(); i++) {
+                    all.add(i);
+                }
+                demands.add(new Admission.Demand(job, new Revision(1), 100, false, all, Map.of()));
+            }
+        }
+        byId.clear();
+        demands.forEach(demand -> byId.put(demand.job().id(), demand.job()));
+        Resources before = new Resources(4, 0, 0);
+        new Admission(blocks, Map.of("t", TEAM), Map.of("t", before), Map.of(), 100).run(demands);
+
+        Resources use = before;
+        Map<JobId, Map<String, Integer>> perZone = new HashMap<>();
+        Map<JobId, TaskSet> out = new HashMap<>();
+        for (Admission.Block block : blocks) {
+            for (Map.Entry<JobId, TaskSet> admitted : block.admitted().entrySet()) {
+                Job job = byId.get(admitted.getKey());
+                int count = admitted.getValue().size();
+                use = use.plus(job.each().times(count));
+                perZone.computeIfAbsent(job.id(), id -> new HashMap<>()).merge(zoneOf.get(block.id()), count, Integer::sum);
+                int sizeBefore = out.computeIfAbsent(job.id(), id -> new TaskSet()).size();
+                out.get(job.id()).addAll(admitted.getValue());
+                assertEquals(sizeBefore + count, out.get(job.id()).size(), "a task goes to one block only");
+                assertTrue(job.allows("m", zoneOf.get(block.id()), block.id().text().endsWith("true")));
+            }
+        }
+        assertTrue(use.fitsIn(TEAM.limit()), "the team's limit");
+        perZone.forEach((id, zones) -> {
+            Job job = byId.get(id);
+            assertTrue(!job.oneZone() || zones.size() == 1, "one zone");
+            zones.values().forEach(count -> assertTrue(count <= job.mostInOneZone(), "spread over zones"));
+            assertTrue(job.shape() != Shape.GANG || out.get(id).size() == job.tasks(), "a gang goes whole");
+        });
+    }
+}
--- /dev/null
+++ b/src/test/java/org/quincecross/sched/BlockSchedulerTest.java
@@ -0,0 +1,188 @@
+package org.quincecross.sched;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.IntStream;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.constraints.Size;
+import org.quincecross.model.Job;
+import org.quincecross.model.JobId;
+import org.quincecross.model.MachineId;
+import org.quincecross.model.Rank;
+import org.quincecross.model.Resources;
+import org.quincecross.model.Revision;
+import org.quincecross.model.Shape;
+import org.quincecross.model.Span;
+import org.quincecross.model.SteadyTime;
+
+class BlockSchedulerTest {
+    private static final Resources MACHINE = new Resources(8, 0, 32);
+    private static final SteadyTime NOW = new SteadyTime(0);
+
+    private static Job job(int number, Shape shape, Rank rank, int tasks, double cpus, double memory) {
+        return new Job(new JobId("job-" + number), "c", "t", shape, rank, tasks, new Resources(cpus, 0, memory), null, null,
+                false, false, true, "img", 1, Span.ofSeconds(10), Span.ZERO, Span.ZERO, null);
+    }
+
+    private static Entry entry(int number, double cpus, double memory) {
+        Job job = job(number, Shape.ARRAY, Rank.NORMAL, 1, cpus, memory);
+        return new Entry(job, List.of(job.id().task(0)), new Revision(number));
+    }
+
+    private static BlockScheduler block(int machines) {
+        BlockScheduler block = new BlockScheduler();
+        for (int i = 0; i < machines; i++) {
+            block.addMachine(new MachineId("m" + i), MACHINE, image -> false);
+            block.update(new MachineId("m" + i), Resources.NONE, true);
+        }
+        return block;
+    }
+
+    @Example
+    void aTaskThatPassesOthersCountsThemUp() {
+        BlockScheduler block = block(1);
+        block.update(new MachineId("m0"), new Resources(6, 0, 0), true);
+        Entry wide = entry(1, 8, 1);
+        Entry alsoWide = entry(2, 4, 1);
+        Entry narrow = entry(3, 2, 1);
+        List.of(wide, alsoWide, narrow).forEach(block::enqueue);
+        assertEquals(List.of(narrow), block.schedule(NOW).stream().map(BlockScheduler.Start::entry).toList());
+        assertEquals(1, wide.counter());
+        assertEquals(1, alsoWide.counter());
+    }
+
+    @Example
+    void nothingPassesAHeadWithAHigherCounter() {
+        BlockScheduler block = block(1);
+        block.update(new MachineId("m0"), new Resources(6, 0, 0), true);
+        Entry wide = entry(1, 8, 1);
+        block.enqueue(wide);
+        block.enqueue(entry(2, 2, 1));
+        block.schedule(NOW);
+        assertEquals(1, wide.counter());
+        block.update(new MachineId("m0"), new Resources(6, 0, 0), true);
+        block.enqueue(entry(3, 2, 1));
+        assertTrue(block.schedule(NOW).isEmpty(), "the counter of a newcomer is less than the head's");
+    }
+
+    @Example
+    void theBetterBalanceStartsFirst() {
+        BlockScheduler block = block(1);
+        block.update(new MachineId("m0"), new Resources(4, 0, 0), true);
+        Entry head = entry(1, 8, 1);
+        Entry lopsided = entry(2, 3, 1);
+        Entry balanced = entry(3, 3, 28);
+        List.of(head, lopsided, balanced).forEach(block::enqueue);
+        assertEquals(balanced, block.schedule(NOW).get(0).entry());
+    }
+
+    @Example
+    void aFreeMachinePullsFromTheLongestQueue() {
+        BlockScheduler block = block(2);
+        block.update(new MachineId("m1"), MACHINE, false);
+        for (int i = 0; i < 6; i++) {
+            block.enqueue(entry(i, 8, 1));
+        }
+        block.update(new MachineId("m0"), MACHINE, true);
+        block.update(new MachineId("m1"), Resources.NONE, true);
+        List<BlockScheduler.Start> starts = block.schedule(NOW);
+        assertEquals(List.of(new MachineId("m1")), starts.get(0).machines());
+    }
+
+    @Example
+    void aGangStartsWholeOrNotAtAll() {
+        BlockScheduler block = block(3);
+        Job job = job(1, Shape.GANG, Rank.NORMAL, 3, 6, 1);
+        Entry gang = new Entry(job, IntStream.range(0, 3).mapToObj(job.id()::task).toList(), new Revision(1));
+        block.enqueue(gang);
+        block.update(new MachineId("m2"), new Resources(4, 0, 0), true);
+        assertTrue(block.schedule(NOW).isEmpty());
+        block.update(new MachineId("m2"), Resources.NONE, true);
+        List<BlockScheduler.Start> starts = block.schedule(NOW);
+        assertEquals(3, starts.get(0).machines().size());
+    }
+
+    @Example
+    void smallTasksDoNotStarveAGang() {
+        BlockScheduler block = block(1);
+        block.update(new MachineId("m0"), new Resources(4, 0, 0), true);
+        Job job = job(1, Shape.GANG, Rank.NORMAL, 1, 8, 1);
+        block.enqueue(new Entry(job, List.of(job.id().task(0)), new Revision(1)));
+        block.enqueue(entry(2, 2, 1));
+        assertTrue(block.schedule(NOW).isEmpty(), "the machine that the gang waits for is kept for it");
+    }
+
+    @Example
+    void smallWorkLeavesRoomForLargeWork() {
+        BlockScheduler block = block(2);
+        block.reserve(new Reserve(new Resources(7, 0, 1), 1));
+        for (int i = 0; i < 8; i++) {
+            block.enqueue(entry(i, 2, 1));
+        }
+        Map<MachineId, Integer> count = new HashMap<>();
+        block.schedule(NOW).forEach(start -> count.merge(start.machines().get(0), 1, Integer::sum));
+        assertEquals(1, count.size(), "one of the two machines stays whole");
+    }
+
+    /** One thing that happens to a block. */
+    private record Step(int kind, int number, double cpus, double memory) {
+    }
+
+    @Provide
+    Arbitrary<Step> steps() {
+        return Combinators.combine(Arbitraries.integers().between(0, 3), Arbitraries.integers().between(0, 5),
+                Arbitraries.integers().between(1, 8).map(n -> (double) n), Arbitraries.integers().between(1, 32).map(n -> (double) n))
+                .as(Step::new);
+    }
+
+    @Property(tries = 300, seed = "10")
+    void neverOverfillsAMachineAndLosesNoWork(@ForAll @Size(max = 60) List<@net.jqwik.api.From("steps") Step> steps) {
+        BlockScheduler block = block(4);
+        Map<MachineId, Resources> used = new HashMap<>();
+        List<Entry> waiting = new ArrayList<>();
+        List<BlockScheduler.Start> running = new ArrayList<>();
+        int number = 0;
+        for (Step step : steps) {
+            switch (step.kind()) {
+                case 0, 1 -> {
+                    Entry entry = entry(++number, step.cpus(), step.memory());
+                    assertTrue(block.enqueue(entry));
+                    waiting.add(entry);
+                }
+                case 2 -> {
+                    if (!running.isEmpty()) {
+                        BlockScheduler.Start over = running.remove(step.number() % running.size());
+                        used.merge(over.machines().get(0), over.entry().job().each().times(-1), Resources::plus);
+                    }
+                }
+                default -> {
+                    for (int i = 0; i < 4; i++) {
+                        MachineId machine = new MachineId("m" + i);
+                        block.update(machine, used.getOrDefault(machine, Resources.NONE), i != step.number());
+                    }
+                    for (BlockScheduler.Start start : block.schedule(NOW)) {
+                        assertTrue(waiting.remove(start.entry()), "started once");
+                        MachineId machine = start.machines().get(0);
+                        assertFalse(machine.equals(new MachineId("m" + step.number())), "nothing starts on a closed machine");
+                        used.merge(machine, start.entry().job().each(), Resources::plus);
+                        assertTrue(used.get(machine).fitsIn(MACHINE));
+                        running.add(start);
+                    }
+                }
+            }
+            assertEquals(waiting.size(), block.waiting().size());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/quincecross/world/VirtualNet.java
@@ -0,0 +1,103 @@
+package org.quincecross.world;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.quincecross.http.HttpRequest;
+import org.quincecross.http.HttpResponse;
+import org.quincecross.model.Endpoint;
+import org.quincecross.model.Span;
+import org.quincecross.net.HttpOutcome;
+
+/** A network that delays, and that holds or loses what goes over a cut. */
+final class VirtualNet {
+    /** Answers what arrives at an address. */
+    interface Host {
+        /** Whether a connection is accepted. */
+        boolean isUp();
+
+        void request(String from, HttpRequest request, Consumer<HttpResponse> reply);
+    }
+
+    private final VirtualTime time;
+    private final Random random;
+    private final Map<Endpoint, Host> hosts = new HashMap<>();
+    private final Map<Endpoint, String> names = new HashMap<>();
+    private final Map<Set<String>, Double> cutUntil = new HashMap<>();
+    private final Set<Set<String>> losing = new HashSet<>();
+
+    VirtualNet(VirtualTime time, Random random) {
+        this.time = time;
+        this.random = random;
+    }
+
+    void host(Endpoint address, String name, Host host) {
+        hosts.put(address, host);
+        names.put(address, name);
+    }
+
+    /** Cuts two hosts off from each other: packets are held, or lost. */
+    void cut(String one, String other, double untilS, boolean lose) {
+        Set<String> link = new HashSet<>(Set.of(one, other));
+        cutUntil.put(link, untilS);
+        if (lose) {
+            losing.add(link);
+        } else {
+            losing.remove(link);
+        }
+    }
+
+    /** Seconds until a packet arrives, or a negative number if it never does. */
+    double delay(String from, String to) {
+        double delay = 0.001 + random.nextDouble() * 0.004 + (random.nextInt(100) == 0 ? random.nextDouble() * 3 : 0);
+        Set<String> link = new HashSet<>();
+        link.add(from);
+        link.add(to);
+        Double until = cutUntil.get(link);
+        if (until != null && until > time.seconds()) {
+            return losing.contains(link) ? -1 : until - time.seconds() + delay;
+        }
+        return delay;
+    }
+
+    private boolean isCut(String from, String to) {
+        Set<String> link = new HashSet<>();
+        link.add(from);
+        link.add(to);
+        return cutUntil.getOrDefault(link, 0.0) > time.seconds();
+    }
+
+    void send(String from, String to, Runnable arrival) {
+        double delay = delay(from, to);
+        if (delay >= 0) {
+            time.after(delay, arrival);
+        }
+    }
+
+    /** A request of {@code caller}; connections that stand already carry it into a cut, as if it were sent. */
+    void call(VirtualTime.Process caller, String from, Endpoint to, HttpRequest request, Span timeout,
+            Consumer<HttpOutcome> done) {
+        boolean[] over = new boolean[1];
+        Consumer<HttpOutcome> once = outcome -> {
+            if (!over[0] && caller.isAlive()) {
+                over[0] = true;
+                done.accept(outcome);
+            }
+        };
+        String name = names.getOrDefault(to, "nowhere");
+        Host host = hosts.get(to);
+        if (host == null || !host.isUp() && !isCut(from, name)) {
+            time.after(0.001, () -> once.accept(HttpOutcome.failed(false)));
+            return;
+        }
+        send(from, name, () -> {
+            if (host.isUp()) {
+                host.request(from, request, response -> send(name, from, () -> once.accept(HttpOutcome.answered(response))));
+            }
+        });
+        time.after(timeout.seconds(), () -> once.accept(HttpOutcome.failed(true)));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/quincecross/world/VirtualTime.java
@@ -0,0 +1,73 @@
+package org.quincecross.world;
+
+import java.util.PriorityQueue;
+import org.quincecross.model.Span;
+import org.quincecross.model.SteadyTime;
+import org.quincecross.net.Timers;
+
+/** Time that passes only when something is to happen. */
+final class VirtualTime {
+    private record Due(long at, long order, Runnable action) implements Comparable<Due> {
+        @Override
+        public int compareTo(Due other) {
+            return at != other.at ? Long.compare(at, other.at) : Long.compare(order, other.order);
+        }
+    }
+
+    /** Something that lives and dies: what it has put off dies with it. */
+    static final class Process {
+        private boolean alive = true;
+
+        boolean isAlive() {
+            return alive;
+        }
+
+        void kill() {
+            alive = false;
+        }
+    }
+
+    private final PriorityQueue<Due> due = new PriorityQueue<>();
+    private long now;
+    private long order;
+
+    double seconds() {
+        return now / 1e9;
+    }
+
+    void at(double seconds, Runnable action) {
+        after(seconds - seconds(), action);
+    }
+
+    void after(double seconds, Runnable action) {
+        due.add(new Due(now + Math.max(0, (long) (seconds * 1e9)), order++, action));
+    }
+
+    void runUntil(double seconds) {
+        while (!due.isEmpty() && due.peek().at() <= seconds * 1e9) {
+            Due next = due.poll();
+            now = Math.max(now, next.at());
+            next.action().run();
+        }
+        now = (long) (seconds * 1e9);
+    }
+
+    /** The timers of a process; its clock starts somewhere of its own. */
+    Timers timersOf(Process process, long offset) {
+        return new Timers() {
+            @Override
+            public SteadyTime now() {
+                return new SteadyTime(now + offset);
+            }
+
+            @Override
+            public void after(Span delay, Runnable action) {
+                VirtualTime.this.after(delay.seconds(), () -> {
+                    if (process.isAlive()) {
+                        action.run();
+                    }
+                });
+            }
+        };
+    }
+}
