--- a/src/test/java/org/quincecross/world/WholeServiceTest.java
+++ b/src/test/java/org/quincecross/world/WholeServiceTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.quincecross.model.JobId;
@@ -62,4 +63,56 @@
             assertTrue(told.getValue().equals("done") || told.getValue().equals("cancelled"), told + " " + world.job(told.getKey()));
         }
     }
+
+    /**
+     * A holder that alone has lost the state service, while its machines hear nobody else: it does not learn of
+     * cancellations, so it must stop answering early enough for the machines' leases to end in time.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1, 2})
+    void aHolderWithoutWordStopsInTimeForCancellations(int alone) {
+        World world = new World(1);
+        List<JobId> jobs = new ArrayList<>();
+        for (int i = 0; i < 12; i++) {
+            int number = i;
+            world.time().at(5 + i * 0.1, () -> jobs.add(world.submitService(number)));
+        }
+        world.time().at(20, () -> {
+            world.state().refuse(World.nodeName(alone), 90);
+            world.machines().forEach(machine -> {
+                world.cut(World.nodeName((alone + 1) % World.NODES), machine.text(), 90, true);
+                world.cut(World.nodeName((alone + 2) % World.NODES), machine.text(), 90, true);
+            });
+        });
+        world.time().at(24, () -> jobs.forEach(world::cancel));
+        world.time().runUntil(150);
+        assertEquals(12, world.told().values().stream().filter("cancelled"::equals).count());
+        assertEquals(List.of(), world.rules().broken());
+    }
+
+    /**
+     * A job is cancelled, and before its tasks can leave the allocation everything goes down for longer than a
+     * cancellation has: the controllers that come back rebuild their queues from an allocation that still has it.
+     */
+    @Test
+    void whatWasCancelledBeforeACrashOfAllDoesNotStartAfterIt() {
+        World world = new World(2);
+        world.time().at(5, () -> world.submitArray(1, 16));
+        world.time().at(20, () -> world.cancel(new JobId("job-1")));
+        boolean[] down = new boolean[1];
+        for (int i = 0; i < 400; i++) {
+            world.time().at(20 + i * 0.005, () -> {
+                if (!down[0] && "cancelled".equals(world.rules().lastTold(new JobId("job-1")))) {
+                    down[0] = true;
+                    world.state().outage(50);
+                    for (int node = 0; node < World.NODES; node++) {
+                        world.crash(node);
+                    }
+                }
+            });
+        }
+        world.time().runUntil(150);
+        assertTrue(down[0]);
+        assertEquals(List.of(), world.rules().broken());
+    }
 }
