Leader: what a block gives back counts until the allocation without it is durable

Cause: in one plan a task given back by one block was admitted to another, and the first block's rewritten allocation then found no room in the transaction (or its lease changed in the same plan): two blocks had the task, rule ran_twice.

--- a/src/main/java/org/quincecross/leader/Leader.java
+++ b/src/main/java/org/quincecross/leader/Leader.java
@@ -493,9 +493,15 @@
 
     private void planAllocations(TxnPlan plan, Set<BlockId> leased) {
         Map<BlockId, Map<JobId, TaskSet>> held = new TreeMap<>();
+        Map<BlockId, Set<TaskId>> released = new HashMap<>();
         Set<BlockId> dirty = new HashSet<>();
         for (BlockId id : ledger.allocatedBlocks()) {
+            Set<TaskId> back = released(id);
+            released.put(id, back);
             held.put(id, stillHeld(id, dirty));
+            if (!back.isEmpty()) {
+                dirty.add(id);
+            }
         }
         List<Admission.Block> blocks = new ArrayList<>();
         Map<BlockId, Reserve> reserves = new HashMap<>();
@@ -529,6 +535,9 @@
                 continue;
             }
             Map<JobId, TaskSet> next = new LinkedHashMap<>(held.getOrDefault(block.id(), Map.of()));
+            for (TaskId task : released.getOrDefault(block.id(), Set.of())) {
+                next.computeIfPresent(task.job(), (id, tasks) -> without(tasks, task.index()));
+            }
             block.admitted().forEach((job, tasks) -> {
                 TaskSet all = next.containsKey(job) ? next.get(job).copy() : new TaskSet();
                 all.addAll(tasks);
@@ -541,27 +550,37 @@
         }
     }
 
-    /** The tasks of a block that are not done and not given back; a block that has others is worth writing anew. */
-    private Map<JobId, TaskSet> stillHeld(BlockId id, Set<BlockId> dirty) {
-        Allocation allocation = ledger.allocation(id);
+    private static TaskSet without(TaskSet tasks, int index) {
+        TaskSet fewer = tasks.copy();
+        fewer.remove(index);
+        return fewer;
+    }
+
+    /**
+     * What a holder gives back, of the allocation as it stands: a late report must not take away what the block has
+     * been given again since.
+     */
+    private Set<TaskId> released(BlockId id) {
         BlockLease lease = ledger.blocks().get(id);
-        Set<TaskId> released = new HashSet<>();
         PeerReport.Block view = lease == null ? null : blockView(lease);
-        // What a holder gives back, it gives back of one version of the allocation: a late report must not take away
-        // what the block has been given again since.
-        if (view != null && view.allocation().equals(allocation.version())) {
-            released.addAll(view.released());
-        }
+        return view != null && view.allocation().equals(ledger.allocation(id).version())
+                ? new HashSet<>(view.released()) : Set.of();
+    }
+
+    /**
+     * The tasks of a block that are not done; a block with many others is worth writing anew. What is given back counts
+     * until the allocation without it is durable: only the next plan may give it to another block, for this one's write
+     * may not find room in the transaction.
+     */
+    private Map<JobId, TaskSet> stillHeld(BlockId id, Set<BlockId> dirty) {
         Map<JobId, TaskSet> held = new LinkedHashMap<>();
         int stale = 0;
-        for (Map.Entry<JobId, TaskSet> entry : allocation.tasks().entrySet()) {
+        for (Map.Entry<JobId, TaskSet> entry : ledger.allocation(id).tasks().entrySet()) {
             JobRecord job = ledger.job(entry.getKey());
             TaskSet tasks = entry.getValue();
             for (int i = tasks.next(0); i >= 0; i = tasks.next(i + 1)) {
                 if (job == null || job.job() == null || ledger.isDone(job.id(), i)) {
                     stale++;
-                } else if (released.contains(job.id().task(i))) {
-                    dirty.add(id);
                 } else {
                     held.computeIfAbsent(job.id(), j -> new TaskSet()).add(i);
                 }
