--- a/src/main/java/org/quincecross/block/BlockHolder.java
+++ b/src/main/java/org/quincecross/block/BlockHolder.java
@@ -224,19 +224,9 @@
                 continue;
             }
             Job job = placement.job();
-            List<TaskId> unit = new ArrayList<>();
-            if (job.shape() == Shape.GANG) {
-                for (int i = 0; i < job.tasks(); i++) {
-                    Placement member = placements.get(job.id().task(i));
-                    if (member != null && member.state() == Placement.State.WAITING) {
-                        unit.add(member.task());
-                    }
-                }
-                if (unit.size() < job.tasks()) {
-                    continue;
-                }
-            } else {
-                unit.add(placement.task());
+            List<TaskId> unit = job.shape() == Shape.GANG ? gatherGang(job) : List.of(placement.task());
+            if (unit.isEmpty()) {
+                continue;
             }
             JobRecord record = context.ledger().job(job.id());
             Entry entry = new Entry(job, unit, record.version());
@@ -254,6 +244,54 @@
         }
     }
 
+    /**
+     * The tasks of a gang, if all of them wait here; else none. A gang that has lost a task cannot go on: what is left
+     * of it is stopped, or it would occupy its places until it notices; and one that the block does not have whole goes
+     * back to the pool whole.
+     */
+    private List<TaskId> gatherGang(Job job) {
+        SteadyTime now = context.now();
+        List<Placement> waiting = new ArrayList<>();
+        boolean unclear = false;
+        for (int i = 0; i < job.tasks(); i++) {
+            Placement member = placements.get(job.id().task(i));
+            if (member == null || member.state() == Placement.State.RELEASED) {
+                continue;
+            }
+            switch (member.state()) {
+                case WAITING -> waiting.add(member);
+                case STARTING, ACTIVE -> {
+                    member.stop(Span.ZERO, false, now);
+                    unclear = true;
+                }
+                default -> unclear = true;
+            }
+        }
+        if (waiting.size() == job.tasks()) {
+            return waiting.stream().map(Placement::task).toList();
+        }
+        if (!unclear) {
+            waiting.forEach(member -> member.release(now));
+            context.newsForLeader();
+        }
+        return List.of();
+    }
+
+    /** Stops a task and, of a gang, all others with it: progress is saved only if all are told in time. */
+    private void stopAll(Placement placement, boolean back, SteadyTime now) {
+        Job job = placement.job();
+        if (job.shape() != Shape.GANG) {
+            placement.stop(graceOf(job), back, now);
+            return;
+        }
+        for (int i = 0; i < job.tasks(); i++) {
+            Placement member = placements.get(job.id().task(i));
+            if (member != null && member.isBound()) {
+                member.stop(graceOf(job), back, now);
+            }
+        }
+    }
+
     // ---- reports ----
 
     /** Answers a worker's report; null where this controller is not entitled to. */
@@ -561,7 +599,7 @@
                 for (Preemption.Running victim : victims) {
                     Placement placement = placements.get(victim.task());
                     LOG.info("block {}: {} makes room for {}", id(), victim.task(), first.task());
-                    placement.stop(graceOf(placement.job()), true, now);
+                    stopAll(placement, true, now);
                 }
                 return;
             }
@@ -588,7 +626,7 @@
                 double left = placement.job().estimate().seconds()
                         - (placement.isRunning() ? now.since(placement.runningSince()).seconds() : 0);
                 if (left < 0 || left > 0.6 * session.report().notice().seconds() || placement.job().shape() == Shape.SERVICE) {
-                    placement.stop(graceOf(placement.job()), true, now);
+                    stopAll(placement, true, now);
                 }
             }
         }
@@ -599,7 +637,7 @@
         for (Placement placement : placements.values()) {
             if (placement.isBound() && placement.state() != Placement.State.STOPPING
                     && (lease.leaving().contains(placement.machine()) || sessions.get(placement.machine()).isSick())) {
-                placement.stop(graceOf(placement.job()), true, now);
+                stopAll(placement, true, now);
             }
         }
     }
--- a/src/main/java/org/quincecross/leader/Leader.java
+++ b/src/main/java/org/quincecross/leader/Leader.java
@@ -19,6 +19,7 @@
 import org.quincecross.model.MemberId;
 import org.quincecross.model.Resources;
 import org.quincecross.model.Revision;
+import org.quincecross.model.Shape;
 import org.quincecross.model.Span;
 import org.quincecross.model.SteadyTime;
 import org.quincecross.model.TaskId;
@@ -460,7 +461,12 @@
                     JobRecord job = ledger.job(task.job());
                     if (job != null && job.phase() == JobPhase.OPEN && task.index() < job.job().tasks()
                             && !ledger.isDone(task.job(), task.index())) {
-                        fresh.computeIfAbsent(task.job(), id -> new TaskSet()).add(task.index());
+                        TaskSet done = fresh.computeIfAbsent(task.job(), id -> new TaskSet());
+                        done.add(task.index());
+                        // A gang completes as one, also where the machine of one of its tasks is lost right after.
+                        for (int i = 0; job.job().shape() == Shape.GANG && i < job.job().tasks(); i++) {
+                            done.add(i);
+                        }
                     }
                 }
             }
--- a/src/test/java/org/quincecross/world/VirtualWorker.java
+++ b/src/test/java/org/quincecross/world/VirtualWorker.java
@@ -249,6 +249,9 @@
                 if (job.shape() != Shape.SERVICE) {
                     after(job.estimate().seconds(), () -> {
                         if (tasks.get(id) == task && !task.isOver()) {
+                            for (int i = 0; job.shape() == Shape.GANG && i < job.tasks(); i++) {
+                                world.rules().completed(job.id().task(i));
+                            }
                             exit(id, task, "done");
                             world.rules().completed(id);
                         }
