Fleet: silent ordinary machines are left alone until their lease is over

Cause: a machine that loses the network for 30 s was returned after 10 s of silence, though its replicas ran on within their lease and it came back with its images.

--- a/src/main/java/org/quincecross/leader/Fleet.java
+++ b/src/main/java/org/quincecross/leader/Fleet.java
@@ -199,7 +199,6 @@
         Set<MachineId> back = new HashSet<>();
         markIdle(current, now);
         List<MachineId> silent = new ArrayList<>();
-        Span silence = settings.workers().report().times(2.5).plus(Span.ofSeconds(3));
         for (Map.Entry<MachineId, PeerReport.MachineState> entry : current.machines().entrySet()) {
             PeerReport.MachineState state = entry.getValue();
             if (state.sick()) {
@@ -210,7 +209,7 @@
             if (leaving && state.fenced() && state.tasks() == 0) {
                 back.add(entry.getKey());
             }
-            if (state.silent().isMoreThan(silence) && !current.strays().contains(entry.getKey())) {
+            if (state.silent().isMoreThan(patience(entry.getKey())) && !current.strays().contains(entry.getKey())) {
                 silent.add(entry.getKey());
             }
         }
@@ -232,6 +231,17 @@
         return back;
     }
 
+    /**
+     * How long a machine may be silent. A spot machine that falls silent has most likely been taken, and returning it
+     * proves its tasks gone. An ordinary one is more likely cut off: its tasks go on until its lease is over, and it
+     * may well come back with its images.
+     */
+    private Span patience(MachineId machine) {
+        boolean spot = ledger.blockOf(machine) != null && ledger.blockOf(machine).spot();
+        return spot ? settings.workers().report().times(2.5).plus(Span.ofSeconds(3))
+                : settings.workers().lease().plus(Span.ofSeconds(20));
+    }
+
     /** Marks machines that have had nothing to do for a while, as long as nothing waits for room. */
     private void markIdle(View current, SteadyTime now) {
         idleSince.keySet().retainAll(current.machines().keySet());
