--- a/src/main/java/org/quincecross/api/Controller.java
+++ b/src/main/java/org/quincecross/api/Controller.java
@@ -76,7 +76,7 @@
         follower = new Follower(timers, client, ledger);
         membership = new Membership(timers, client, settings.member(), settings.zone());
         holdings = new Holdings(this, settings.member(), membership::life);
-        fleet = new Fleet(timers, http, ledger, settings, membership::life);
+        fleet = new Fleet(timers, http, ledger, settings, foresight, membership::life);
         leader = new Leader(timers, client, ledger, follower, membership, settings, fleet, foresight, clockMs);
         users = new UserApi(timers, ledger, follower, client, settings, this::running, clockMs);
         agents = new AgentApi(timers, ledger, holdings, leader, settings.member());
--- a/src/main/java/org/quincecross/block/BlockHolder.java
+++ b/src/main/java/org/quincecross/block/BlockHolder.java
@@ -61,6 +61,8 @@
     private static final int MOST_ORDERS = 300;
     /** An attempt is the block's token, then this many bits of a count: larger under every later lease. */
     private static final int ATTEMPT_BITS = 20;
+    /** A replica that has just been started should not be stopped again for tidiness. */
+    private static final Span MOVABLE_AFTER = Span.ofSeconds(40);
     private static final Span ROOM_PATIENCE = Span.ofMillis(300);
 
     private final HolderContext context;
@@ -801,7 +803,8 @@
 
     /** What is known of a machine, for the leader and for operators. */
     public record MachineView(MachineId machine, Resources free, Span silent, boolean fenced, boolean notice,
-            boolean sick, int tasks, Set<String> images, int queued) {
+            boolean sick, boolean movable, int tasks, Set<String> images, Set<String> imagesInUse,
+            int queued) {
     }
 
     public List<MachineView> machines() {
@@ -810,16 +813,21 @@
         for (Session session : sessions.values()) {
             MachineId id = session.machine().id();
             int tasks = 0;
+            boolean movable = true;
+            Set<String> inUse = new HashSet<>();
             for (Placement placement : placements.values()) {
                 if (placement.isBound() && placement.machine().equals(id)
                         || placement.state() == Placement.State.COMPLETED && placement.machine().equals(id)) {
                     tasks++;
+                    inUse.add(placement.job().image());
+                    movable &= placement.job().shape() == Shape.SERVICE && placement.state() == Placement.State.ACTIVE
+                            && placement.isRunning() && now.since(placement.runningSince()).isMoreThan(MOVABLE_AFTER);
                 }
             }
             MachineQueue queue = scheduler.machine(id);
             views.add(new MachineView(id, session.capacity().minus(used(session)), now.since(session.heard()),
-                    session.state() == Session.State.FENCED, session.hasNotice(), session.isSick(), tasks,
-                    Set.copyOf(session.images()), queue.waiting().size()));
+                    session.state() == Session.State.FENCED, session.hasNotice(), session.isSick(), movable, tasks,
+                    Set.copyOf(session.images()), inUse, queue.waiting().size()));
         }
         return views;
     }
--- a/src/main/java/org/quincecross/block/Holdings.java
+++ b/src/main/java/org/quincecross/block/Holdings.java
@@ -97,7 +97,8 @@
             List<PeerReport.MachineState> machines = new ArrayList<>();
             for (BlockHolder.MachineView view : holder.machines()) {
                 machines.add(new PeerReport.MachineState(view.machine(), view.free(), view.silent(), view.fenced(),
-                        view.notice(), view.sick(), view.tasks(), view.queued(), List.copyOf(view.images())));
+                        view.notice(), view.sick(), view.movable(), view.tasks(), view.queued(), List.copyOf(view.images()),
+                        List.copyOf(view.imagesInUse())));
             }
             reports.add(new PeerReport.Block(holder.id(), holder.lease().token(),
                     context.ledger().allocation(holder.id()).version(), holder.completed(), holder.released(),
--- a/src/main/java/org/quincecross/leader/Fleet.java
+++ b/src/main/java/org/quincecross/leader/Fleet.java
@@ -10,7 +10,6 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Supplier;
-import org.quincecross.model.BlockId;
 import org.quincecross.model.Incarnation;
 import org.quincecross.model.Job;
 import org.quincecross.model.MachineId;
@@ -22,6 +21,8 @@
 import org.quincecross.net.Timers;
 import org.quincecross.peer.PeerReport;
 import org.quincecross.sched.Admission;
+import org.quincecross.state.BlockLease;
+import org.quincecross.state.Foresight;
 import org.quincecross.state.Ledger;
 import org.quincecross.wire.CloudCodec;
 import org.quincecross.wire.Settings;
@@ -36,6 +37,11 @@
     private static final Span LIST_EVERY = Span.ofSeconds(4);
     private static final Span IDLE_FOR = Span.ofSeconds(25);
     private static final Span REFUSED_FOR = Span.ofSeconds(15);
+    private static final Span CONSOLIDATE_FIRST = Span.ofSeconds(60);
+    private static final Span CONSOLIDATE_EVERY = Span.ofSeconds(12);
+    private static final double MOST_USED_TO_EMPTY = 0.55;
+    /** Tasks of the most urgent kind for which there is always to be room. */
+    private static final int SPARE_TASKS = 2;
     private static final int MOST_REQUESTS_AT_ONCE = 3;
     private static final int MOST_AT_ONCE = 6;
     private static final int MOST_RETURNED_AT_ONCE = 50;
@@ -55,6 +61,7 @@
     private final CloudClient cloud;
     private final Ledger ledger;
     private final Settings settings;
+    private final Foresight foresight;
     private final Supplier<Incarnation> life;
     private final Map<String, MachineType> catalog = new TreeMap<>();
     private final Map<MachineId, CloudCodec.Listed> listed = new TreeMap<>();
@@ -69,23 +76,27 @@
     private SteadyTime listAfter;
     private SteadyTime rentAfter;
     private SteadyTime returnAfter;
+    private SteadyTime consolidateAfter;
     private boolean leading;
     private int renting;
     private boolean returning;
     private boolean listing;
     private long requests;
 
-    public Fleet(Timers timers, HttpCaller http, Ledger ledger, Settings settings, Supplier<Incarnation> life) {
+    public Fleet(Timers timers, HttpCaller http, Ledger ledger, Settings settings, Foresight foresight,
+            Supplier<Incarnation> life) {
         this.timers = timers;
         this.cloud = new CloudClient(timers, http, settings.cloud(), settings.cloudLimits().requestsPerS());
         this.ledger = ledger;
         this.settings = settings;
+        this.foresight = foresight;
         this.life = life;
         SteadyTime now = timers.now();
         catalogAfter = now;
         listAfter = now;
         rentAfter = now;
         returnAfter = now;
+        consolidateAfter = now;
     }
 
     public void start() {
@@ -100,6 +111,7 @@
             idleSince.clear();
             wanted.clear();
             rentAfter = timers.now().plus(Span.ofSeconds(3)); // first hear what there is
+            consolidateAfter = timers.now().plus(CONSOLIDATE_FIRST);
         }
         view = views;
     }
@@ -135,6 +147,7 @@
         refreshCatalog(now);
         refreshList(now);
         View current = view.get();
+        consolidate(current, now);
         booting.keySet().removeIf(machine -> ledger.blockOf(machine) != null || gone.contains(machine));
         Set<MachineId> back = returnable(current, now);
         giveBack(back, now);
@@ -252,26 +265,69 @@
                 continue;
             }
             SteadyTime since = idleSince.computeIfAbsent(entry.getKey(), id -> now);
-            if (now.since(since).isMoreThan(IDLE_FOR) && unmet.isEmpty() && booting.isEmpty() && isSpare(entry.getKey(), current)) {
+            if (now.since(since).isMoreThan(IDLE_FOR) && isCalm(current) && hasRoomElsewhere(entry.getKey(), Resources.NONE, List.of(), current)) {
                 wanted.add(entry.getKey());
             }
         }
     }
 
-    /** Whether another idle machine of the same kind stays. */
-    private boolean isSpare(MachineId machine, View current) {
-        BlockId block = ledger.blockOf(machine) == null ? null : ledger.blockOf(machine).id();
+    /** Whether nothing waits for room and nothing is going on that may soon ask for some. */
+    private boolean isCalm(View current) {
+        return unmet.isEmpty() && booting.isEmpty() && current.strays().isEmpty()
+                && current.machines().values().stream().allMatch(PeerReport.MachineState::fenced);
+    }
+
+    /** Whether the other machines of the type that have the images have room for the tasks, and for two more urgent ones. */
+    private boolean hasRoomElsewhere(MachineId machine, Resources tasks, List<String> images, View current) {
+        BlockLease block = ledger.blockOf(machine);
         if (block == null) {
             return false;
         }
-        String type = ledger.blocks().get(block).type();
-        for (MachineId other : idleSince.keySet()) {
-            if (!other.equals(machine) && !wanted.contains(other) && current.machines().containsKey(other)
-                    && ledger.blockOf(other) != null && ledger.blockOf(other).type().equals(type)) {
-                return true;
+        Resources each = foresight.urgentTask();
+        Resources free = Resources.NONE;
+        int slots = 0;
+        for (Map.Entry<MachineId, PeerReport.MachineState> other : current.machines().entrySet()) {
+            BlockLease home = ledger.blockOf(other.getKey());
+            if (!other.getKey().equals(machine) && other.getValue().images().containsAll(images)
+                    && home != null && home.type().equals(block.type()) && !home.spot()
+                    && !wanted.contains(other.getKey()) && !home.leaving().contains(other.getKey())) {
+                slots += each.cpus() > 0 ? other.getValue().free().count(each) : SPARE_TASKS;
+                free = free.plus(other.getValue().free());
             }
         }
-        return false;
+        int needed = each.cpus() > 0 ? (int) Math.ceil(tasks.shareOf(each)) : 0;
+        return slots >= needed + SPARE_TASKS && tasks.fitsIn(free);
+    }
+
+    /**
+     * Empties the least used machine that holds only a few replicas, if the others have room for them: a replica moves
+     * in a moment to a machine that has its image, and a machine that nobody needs costs money until the day ends.
+     */
+    private void consolidate(View current, SteadyTime now) {
+        if (now.isBefore(consolidateAfter) || !isCalm(current)) {
+            return;
+        }
+        MachineId best = null;
+        Resources bestUsed = null;
+        for (Map.Entry<MachineId, PeerReport.MachineState> entry : current.machines().entrySet()) {
+            BlockLease block = ledger.blockOf(entry.getKey());
+            PeerReport.MachineState state = entry.getValue();
+            if (block == null || !state.movable() || state.tasks() == 0 || state.queued() > 0 || wanted.contains(entry.getKey())) {
+                continue;
+            }
+            Resources capacity = ledger.types().get(block.type()).capacity();
+            Resources used = capacity.minus(state.free());
+            if (used.shareOf(capacity) <= MOST_USED_TO_EMPTY && hasRoomElsewhere(entry.getKey(), used, state.imagesInUse(), current)
+                    && (best == null || used.shareOf(capacity) < bestUsed.shareOf(capacity))) {
+                best = entry.getKey();
+                bestUsed = used;
+            }
+        }
+        if (best != null) {
+            LOG.info("machine {} is emptied: its replicas have room elsewhere", best);
+            wanted.add(best);
+            consolidateAfter = now.plus(CONSOLIDATE_EVERY);
+        }
     }
 
     private void giveBack(Set<MachineId> back, SteadyTime now) {
--- a/src/main/java/org/quincecross/peer/PeerCodec.java
+++ b/src/main/java/org/quincecross/peer/PeerCodec.java
@@ -37,10 +37,7 @@
             out.packLong(report.life().number());
             out.packLong(report.number());
             out.packLong(report.unconfirmed().nanos());
-            out.packArrayHeader(report.strays().size());
-            for (MachineId stray : report.strays()) {
-                out.packString(stray.text());
-            }
+            writeTexts(out, report.strays().stream().map(MachineId::text).toList());
             out.packArrayHeader(report.blocks().size());
             for (PeerReport.Block block : report.blocks()) {
                 writeBlock(out, block);
@@ -72,13 +69,27 @@
             out.packBoolean(machine.fenced());
             out.packBoolean(machine.notice());
             out.packBoolean(machine.sick());
+            out.packBoolean(machine.movable());
             out.packInt(machine.tasks());
             out.packInt(machine.queued());
-            out.packArrayHeader(machine.images().size());
-            for (String image : machine.images()) {
-                out.packString(image);
-            }
+            writeTexts(out, machine.images());
+            writeTexts(out, machine.imagesInUse());
+        }
+    }
+
+    private static void writeTexts(MessageBufferPacker out, List<String> texts) throws IOException {
+        out.packArrayHeader(texts.size());
+        for (String text : texts) {
+            out.packString(text);
+        }
+    }
+
+    private static List<String> readTexts(MessageUnpacker in) throws IOException, BadMessage {
+        List<String> texts = new ArrayList<>();
+        for (int i = count(in.unpackArrayHeader()); i > 0; i--) {
+            texts.add(in.unpackString());
         }
+        return texts;
     }
 
     private static void writeTasks(MessageBufferPacker out, List<TaskId> tasks) throws IOException {
@@ -97,10 +108,7 @@
             Incarnation life = new Incarnation(in.unpackLong());
             long number = in.unpackLong();
             Span unconfirmed = new Span(in.unpackLong());
-            List<MachineId> strays = new ArrayList<>();
-            for (int i = count(in.unpackArrayHeader()); i > 0; i--) {
-                strays.add(new MachineId(in.unpackString()));
-            }
+            List<MachineId> strays = readTexts(in).stream().map(MachineId::new).toList();
             List<PeerReport.Block> blocks = new ArrayList<>();
             for (int i = count(in.unpackArrayHeader()); i > 0; i--) {
                 blocks.add(readBlock(in));
@@ -137,13 +145,11 @@
             boolean fenced = in.unpackBoolean();
             boolean notice = in.unpackBoolean();
             boolean sick = in.unpackBoolean();
+            boolean movable = in.unpackBoolean();
             int tasks = in.unpackInt();
             int queued = in.unpackInt();
-            List<String> images = new ArrayList<>();
-            for (int j = count(in.unpackArrayHeader()); j > 0; j--) {
-                images.add(in.unpackString());
-            }
-            machines.add(new PeerReport.MachineState(machine, free, silent, fenced, notice, sick, tasks, queued, images));
+            machines.add(new PeerReport.MachineState(machine, free, silent, fenced, notice, sick, movable, tasks,
+                    queued, readTexts(in), readTexts(in)));
         }
         return new PeerReport.Block(id, token, allocation, completed, released, running, machines);
     }
--- a/src/main/java/org/quincecross/peer/PeerReport.java
+++ b/src/main/java/org/quincecross/peer/PeerReport.java
@@ -34,8 +34,13 @@
             Map<JobId, Integer> running, List<MachineState> machines) {
     }
 
-    /** A machine of a block. */
+    /**
+     * A machine of a block.
+     *
+     * @param images those that it has or is fetching; {@code imagesInUse}: those that its tasks need
+     * @param movable whether all that runs there are services that have been up for a while
+     */
     public record MachineState(MachineId id, Resources free, Span silent, boolean fenced, boolean notice, boolean sick,
-            int tasks, int queued, List<String> images) {
+            boolean movable, int tasks, int queued, List<String> images, List<String> imagesInUse) {
     }
 }
--- a/src/main/java/org/quincecross/state/Foresight.java
+++ b/src/main/java/org/quincecross/state/Foresight.java
@@ -48,6 +48,11 @@
         return reserves.getOrDefault(block, List.of());
     }
 
+    /** What a task of the highest priority takes, of those seen lately; nothing if there were none. */
+    public Resources urgentTask() {
+        return urgent == null ? Resources.NONE : urgent.each();
+    }
+
     private void compute(SteadyTime now) {
         reserves.clear();
         Set<JobId> allocated = new HashSet<>();
