--- a/src/main/java/org/quincecross/block/BlockHolder.java
+++ b/src/main/java/org/quincecross/block/BlockHolder.java
@@ -634,13 +634,30 @@
         }
     }
 
-    /** A machine that is to go back to the cloud, or fails what it is given: its work goes elsewhere. */
+    /**
+     * A machine that is to go back to the cloud, or fails what it is given: its work goes elsewhere. What has room and
+     * its image on another machine of the block starts there at once, the rest goes back to the pool.
+     */
     private void clearLeaving(SteadyTime now) {
+        Map<MachineId, Resources> room = new LinkedHashMap<>();
         for (Placement placement : placements.values()) {
-            if (placement.isBound() && placement.state() != Placement.State.STOPPING
-                    && (lease.leaving().contains(placement.machine()) || sessions.get(placement.machine()).isSick())) {
-                stopAll(placement, true, now);
+            if (!placement.isBound() || placement.state() == Placement.State.STOPPING
+                    || !lease.leaving().contains(placement.machine()) && !sessions.get(placement.machine()).isSick()) {
+                continue;
+            }
+            if (room.isEmpty()) {
+                sessions.values().stream().filter(this::isOpen).forEach(session ->
+                        room.put(session.machine().id(), session.capacity().minus(used(session))));
+            }
+            boolean back = true;
+            for (Map.Entry<MachineId, Resources> other : room.entrySet()) {
+                if (back && placement.job().each().fitsIn(other.getValue())
+                        && sessions.get(other.getKey()).hasImage(placement.job().image())) {
+                    other.setValue(other.getValue().minus(placement.job().each()));
+                    back = false;
+                }
             }
+            stopAll(placement, back, now);
         }
     }
 
--- a/src/main/java/org/quincecross/program/Main.java
+++ b/src/main/java/org/quincecross/program/Main.java
@@ -1,5 +1,7 @@
 package org.quincecross.program;
 
+import java.io.IOException;
+import java.nio.file.Path;
 import java.util.Locale;
 import picocli.CommandLine;
 
@@ -10,17 +12,29 @@
 
     public static void main(String[] args) {
         configureLogging(System.getenv("LOG_LEVEL"));
+        if (args.length == 2 && args[0].equals("--config")) {
+            // The one call that the platform makes. The command-line library is compiled for such an old class format
+            // that no class-data archive takes it, and loading it is half of the time that a restart takes.
+            System.exit(serve(Path.of(args[1])));
+        }
         CommandLine line = new CommandLine(new QuincecrossCommand());
-        line.setExecutionExceptionHandler((e, command, parsed) -> {
-            command.getErr().println("quincecross: " + e.getMessage());
-            return 2;
-        });
         int status = line.execute(args);
         if (status != 0) {
             System.exit(status);
         }
     }
 
+    /** Serves until the process is killed; returns the exit status if it cannot. */
+    static int serve(Path config) {
+        try {
+            new Server(SettingsFile.read(config)).run();
+            return 0;
+        } catch (IOException e) {
+            System.err.println("quincecross: " + e.getMessage());
+            return 2;
+        }
+    }
+
     /** Has to come before the first logger is made. */
     private static void configureLogging(String level) {
         String known = level == null ? "info" : level.toLowerCase(Locale.ROOT);
--- a/src/main/java/org/quincecross/program/QuincecrossCommand.java
+++ b/src/main/java/org/quincecross/program/QuincecrossCommand.java
@@ -18,12 +18,19 @@
     @Option(names = "--config", paramLabel = "FILE", description = "the settings file (JSON) of this controller")
     private Path config;
 
+    /** For the build alone, which makes the class-data archive from what is loaded here. */
+    @Option(names = "--load-classes-and-exit", hidden = true)
+    private boolean loadClasses;
+
     @Override
     public Integer call() throws Exception {
+        if (loadClasses) {
+            ClassLoading.loadAll();
+            return 0;
+        }
         if (config == null) {
             throw new ParameterException(spec.commandLine(), "--config FILE is needed to serve");
         }
-        new Server(SettingsFile.read(config)).run();
-        return 0;
+        return Main.serve(config);
     }
 }
