--- a/src/main/java/org/quincecross/api/Controller.java
+++ b/src/main/java/org/quincecross/api/Controller.java
@@ -13,6 +13,7 @@
 import org.quincecross.leader.Leader;
 import org.quincecross.model.BlockId;
 import org.quincecross.model.JobId;
+import org.quincecross.model.MachineId;
 import org.quincecross.model.MemberId;
 import org.quincecross.model.Span;
 import org.quincecross.model.SteadyTime;
@@ -62,6 +63,7 @@
     private final UserApi users;
     private final AgentApi agents;
     private final Map<MemberId, Peer> heard = new HashMap<>();
+    private final Map<MachineId, List<String>> images = new HashMap<>();
     private final Span longestUnconfirmed;
     private long reports;
     private boolean newsPlanned;
@@ -130,6 +132,10 @@
         try {
             PeerReport report = PeerCodec.read(frame);
             heard.put(report.member(), new Peer(report, timers.now()));
+            for (PeerReport.Block block : report.blocks()) {
+                block.machines().forEach(machine -> images.put(machine.id(), machine.images()));
+            }
+            images.keySet().removeIf(machine -> ledger.blockOf(machine) == null);
             leader.hear(report);
             return true;
         } catch (BadMessage e) {
@@ -215,6 +221,11 @@
         return settings.workers();
     }
 
+    @Override
+    public List<String> imagesOf(MachineId machine) {
+        return images.getOrDefault(machine, List.of());
+    }
+
     @Override
     public boolean isEntitled() {
         SteadyTime confirmed = follower.confirmed();
--- a/src/main/java/org/quincecross/block/BlockHolder.java
+++ b/src/main/java/org/quincecross/block/BlockHolder.java
@@ -108,6 +108,7 @@
         MachineType type = context.ledger().types().get(machine.type());
         Resources capacity = type == null ? Resources.NONE : type.capacity();
         Session session = new Session(machine, capacity, type == null ? 0 : type.cacheGb(), context.now(), leaseFrom);
+        context.imagesOf(machine.id()).forEach(session::inheritImage);
         sessions.put(machine.id(), session);
         scheduler.addMachine(machine.id(), capacity, session::hasImage);
     }
--- a/src/main/java/org/quincecross/block/HolderContext.java
+++ b/src/main/java/org/quincecross/block/HolderContext.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.quincecross.model.BlockId;
+import org.quincecross.model.MachineId;
 import org.quincecross.model.Span;
 import org.quincecross.model.SteadyTime;
 import org.quincecross.net.HttpCaller;
@@ -23,6 +24,9 @@
 
     Settings.Workers workers();
 
+    /** The images that a machine was last said to have, by whoever held it. */
+    List<String> imagesOf(MachineId machine);
+
     /** Whether the ledger is recent enough for this controller to give commands and renew leases. */
     boolean isEntitled();
 
--- a/src/main/java/org/quincecross/block/Session.java
+++ b/src/main/java/org/quincecross/block/Session.java
@@ -138,6 +138,12 @@
         fetched.add(image);
     }
 
+    /** A former holder knew of an image here; how large it is will show when it is used again. */
+    void inheritImage(String image) {
+        images.put(image, 0.0);
+        fetched.add(image);
+    }
+
     /** A task has or gets its image here, so the machine has it: until more recently used ones crowd it out. */
     void usedImage(String image, double gb) {
         images.put(image, gb);
--- a/src/main/java/org/quincecross/leader/Fleet.java
+++ b/src/main/java/org/quincecross/leader/Fleet.java
@@ -21,6 +21,7 @@
 import org.quincecross.net.Timers;
 import org.quincecross.peer.PeerReport;
 import org.quincecross.sched.Admission;
+import org.quincecross.sched.Reserve;
 import org.quincecross.state.BlockLease;
 import org.quincecross.state.Foresight;
 import org.quincecross.state.Ledger;
@@ -39,6 +40,7 @@
     private static final Span REFUSED_FOR = Span.ofSeconds(15);
     private static final Span CONSOLIDATE_FIRST = Span.ofSeconds(60);
     private static final Span CONSOLIDATE_EVERY = Span.ofSeconds(12);
+    private static final int MOST_MOVED_AT_ONCE = 3;
     private static final double MOST_USED_TO_EMPTY = 0.55;
     /** Tasks of the most urgent kind for which there is always to be room. */
     private static final int SPARE_TASKS = 2;
@@ -265,12 +267,42 @@
                 continue;
             }
             SteadyTime since = idleSince.computeIfAbsent(entry.getKey(), id -> now);
-            if (now.since(since).isMoreThan(IDLE_FOR) && isCalm(current) && hasRoomElsewhere(entry.getKey(), Resources.NONE, List.of(), current)) {
+            if (now.since(since).isMoreThan(keepIdle(entry.getKey())) && isCalm(current) && hasRoomElsewhere(entry.getKey(), Resources.NONE, List.of(), current)) {
                 wanted.add(entry.getKey());
             }
         }
     }
 
+    /** How long an idle machine is kept: the longer, the longer another one would take to come up. */
+    private Span keepIdle(MachineId machine) {
+        BlockLease block = ledger.blockOf(machine);
+        MachineType type = block == null ? null : ledger.types().get(block.type());
+        return type == null ? IDLE_FOR : IDLE_FOR.plus(type.boot().times(0.5));
+    }
+
+    /** Whether as many whole machines stay without this one as are kept for large work. */
+    private boolean leavesReserve(MachineId machine, BlockLease block, View current) {
+        int kept = 0;
+        int whole = 0;
+        for (BlockLease other : ledger.blocks().values()) {
+            if (!other.type().equals(block.type()) || other.spot() != block.spot()) {
+                continue;
+            }
+            for (Reserve reserve : foresight.of(other.id(), timers.now())) {
+                if (reserve.purpose() != Reserve.Purpose.LARGE_WORK) {
+                    continue;
+                }
+                kept += reserve.machines();
+                for (MachineId id : other.machines().keySet()) {
+                    PeerReport.MachineState state = current.machines().get(id);
+                    whole += state != null && !id.equals(machine) && !other.leaving().contains(id) && !wanted.contains(id)
+                            && reserve.each().fitsIn(state.free()) ? 1 : 0;
+                }
+            }
+        }
+        return whole >= kept;
+    }
+
     /** Whether nothing waits for room and nothing is going on that may soon ask for some. */
     private boolean isCalm(View current) {
         return unmet.isEmpty() && booting.isEmpty() && current.strays().isEmpty()
@@ -280,7 +312,7 @@
     /** Whether the other machines of the type that have the images have room for the tasks, and for two more urgent ones. */
     private boolean hasRoomElsewhere(MachineId machine, Resources tasks, List<String> images, View current) {
         BlockLease block = ledger.blockOf(machine);
-        if (block == null) {
+        if (block == null || !leavesReserve(machine, block, current)) {
             return false;
         }
         Resources each = foresight.urgentTask();
@@ -312,7 +344,7 @@
         for (Map.Entry<MachineId, PeerReport.MachineState> entry : current.machines().entrySet()) {
             BlockLease block = ledger.blockOf(entry.getKey());
             PeerReport.MachineState state = entry.getValue();
-            if (block == null || !state.movable() || state.tasks() == 0 || state.queued() > 0 || wanted.contains(entry.getKey())) {
+            if (block == null || !state.movable() || state.tasks() == 0 || state.tasks() > MOST_MOVED_AT_ONCE || state.queued() > 0 || wanted.contains(entry.getKey())) {
                 continue;
             }
             Resources capacity = ledger.types().get(block.type()).capacity();
--- a/src/main/java/org/quincecross/leader/Leader.java
+++ b/src/main/java/org/quincecross/leader/Leader.java
@@ -58,7 +58,9 @@
     private static final Span TICK = Span.ofMillis(100);
     /** "Neighbours start at six similar machines per block." */
     private static final int BLOCK_SIZE = 6;
-    private static final Span REBALANCE_EVERY = Span.ofSeconds(6);
+    private static final Span REBALANCE_EVERY = Span.ofSeconds(8);
+    /** Moving a block costs a moment and what its holder has learnt of it: a small gain is not worth that. */
+    private static final int REBALANCE_GAIN = 4;
     private static final Span REPORT_FRESH = Span.ofSeconds(2.5);
     /** A job that nobody waits for by a certain time comes after those of about an hour's patience. */
     private static final double NO_DEADLINE_S = 3600;
@@ -361,7 +363,8 @@
             PeerReport.Block view = blockView(block);
             Map<MemberId, Integer> hearing = new HashMap<>();
             for (MachineId machine : block.machines().keySet()) {
-                boolean silent = view == null || view.machines().stream()
+                // A lease that its holder has not reported under yet says nothing of who hears the machines.
+                boolean silent = view != null && view.machines().stream()
                         .anyMatch(state -> state.id().equals(machine) && state.silent().isMoreThan(Span.ofSeconds(4)));
                 for (MemberRecord member : members()) {
                     PeerReport report = freshReport(member.member());
@@ -391,7 +394,7 @@
                 int gain = load.getOrDefault(block.holder(), 0) - load.getOrDefault(member.member(), 0) - size;
                 PeerReport.Block view = blockView(block);
                 boolean calm = view != null && view.machines().stream().allMatch(PeerReport.MachineState::fenced);
-                if (gain > 2 && calm) {
+                if (gain > REBALANCE_GAIN && calm) {
                     LOG.info("block {} goes from {} to {} to share the load", block.id(), block.holder(), member.member());
                     next.put(block.id(), block.heldBy(member));
                     return;
