--- /dev/null
+++ b/src/main/java/org/quincecross/admin/AdminApi.java
@@ -0,0 +1,176 @@
+package org.quincecross.admin;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.quincecross.block.BlockHolder;
+import org.quincecross.block.Holdings;
+import org.quincecross.http.HttpRequest;
+import org.quincecross.http.HttpResponse;
+import org.quincecross.leader.Leader;
+import org.quincecross.model.Revision;
+import org.quincecross.net.Timers;
+import org.quincecross.state.BlockLease;
+import org.quincecross.state.Follower;
+import org.quincecross.state.Keys;
+import org.quincecross.state.Ledger;
+import org.quincecross.state.Membership;
+import org.quincecross.state.StateClient;
+import org.quincecross.wire.BadMessage;
+import org.quincecross.wire.Fields;
+import org.quincecross.wire.JobCodec;
+import org.quincecross.wire.Json;
+import org.quincecross.wire.StateCodec.Change;
+import org.quincecross.wire.StateCodec.Guard;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Requests below {@code /admin}. */
+public final class AdminApi {
+    public static final String ROOT = "/admin";
+    private static final Logger LOG = LoggerFactory.getLogger(AdminApi.class);
+
+    private final Timers timers;
+    private final Ledger ledger;
+    private final Follower follower;
+    private final Membership membership;
+    private final StateClient client;
+    private final Holdings holdings;
+    private final Leader leader;
+    private final Metrics metrics;
+
+    public AdminApi(Timers timers, Ledger ledger, Follower follower, Membership membership, StateClient client,
+            Holdings holdings, Leader leader, Metrics metrics) {
+        this.timers = timers;
+        this.ledger = ledger;
+        this.follower = follower;
+        this.membership = membership;
+        this.client = client;
+        this.holdings = holdings;
+        this.leader = leader;
+        this.metrics = metrics;
+    }
+
+    public void handle(HttpRequest request, Consumer<HttpResponse> reply) {
+        String what = request.path().substring(ROOT.length());
+        boolean get = request.method().equals("GET");
+        switch (what) {
+            case "/status" -> answer(get, this::status, reply);
+            case "/blocks" -> answer(get, this::blocks, reply);
+            case "/machines" -> answer(get, this::machines, reply);
+            case "/metrics" -> answer(get, metrics::write, reply);
+            case "/settings" -> {
+                if (request.method().equals("PUT")) {
+                    change(request.body(), reply);
+                } else {
+                    answer(get, this::settings, reply);
+                }
+            }
+            default -> reply.accept(error(404, "unknown path; there are status, blocks, machines, metrics and settings"));
+        }
+    }
+
+    private static HttpResponse error(int status, String why) {
+        return HttpResponse.of(status, JobCodec.error(why));
+    }
+
+    /** Makes an answer. */
+    private interface View {
+        Object make();
+    }
+
+    private static void answer(boolean get, View view, Consumer<HttpResponse> reply) {
+        reply.accept(get ? HttpResponse.of(200, Json.write(view.make())) : HttpResponse.of(405));
+    }
+
+    private Object status() {
+        List<Object> members = new ArrayList<>();
+        ledger.members().keySet().forEach(member -> members.add(member.text()));
+        return Json.object("membership", membership.state().toString(), "life", membership.life().number(),
+                "role", leader.state().toString(), "leader", ledger.leader() == null ? null : ledger.leader().member().text(),
+                "members", members, "revision", ledger.revision().number(),
+                "unconfirmed_ms", follower.confirmed() == null ? null : timers.now().since(follower.confirmed()).millis(),
+                "jobs", ledger.jobCount(), "blocks", ledger.blocks().size(), "blocks_held", holdings.all().size());
+    }
+
+    private Object blocks() {
+        List<Object> list = new ArrayList<>();
+        for (BlockLease block : ledger.blocks().values()) {
+            int tasks = ledger.allocation(block.id()).tasks().values().stream().mapToInt(set -> set.size()).sum();
+            BlockHolder holder = holdings.get(block.id());
+            Map<String, Object> out = Json.object("block", block.id().text(), "holder", block.holder().text(), "token",
+                    block.token().number(), "type", block.type(), "zone", block.zone(), "spot", block.spot(),
+                    "machines", block.machines().size(), "allocated", tasks);
+            if (holder != null) {
+                out.put("waiting", holder.waitingCount());
+                out.put("unreported_results", holder.completed().size());
+            }
+            list.add(out);
+        }
+        return list;
+    }
+
+    /** The machines that this controller holds. */
+    private Object machines() {
+        List<Object> list = new ArrayList<>();
+        for (BlockHolder holder : holdings.all()) {
+            for (BlockHolder.MachineView machine : holder.machines()) {
+                list.add(Json.object("machine", machine.machine().text(), "block", holder.id().text(), "free_cpus",
+                        machine.free().cpus(), "free_gpus", machine.free().gpus(), "free_memory_gb", machine.free().memoryGb(),
+                        "tasks", machine.tasks(), "queued", machine.queued(), "fenced", machine.fenced(), "notice",
+                        machine.notice(), "sick", machine.sick(), "silent_ms", machine.silent().millis(),
+                        "images", machine.images()));
+            }
+        }
+        return list;
+    }
+
+    // ---- settings ----
+
+    private OperatorSettings present() {
+        return settings(ledger);
+    }
+
+    /** The operators' settings as the ledger has them. */
+    public static OperatorSettings settings(Ledger ledger) {
+        if (ledger.operatorSettings() == null) {
+            return OperatorSettings.DEFAULTS;
+        }
+        try {
+            return OperatorSettings.read(ledger.operatorSettings(), OperatorSettings.DEFAULTS);
+        } catch (BadMessage e) {
+            return OperatorSettings.DEFAULTS; // written by a later version: better to go on than to guess
+        }
+    }
+
+    private Object settings() {
+        return Json.object("version", ledger.version(Keys.OPERATOR_SETTINGS).number(), "settings", present().write());
+    }
+
+    /** Takes {@code {"version": V, "settings": {...}}}, where V is the version that the change was made on. */
+    private void change(byte[] body, Consumer<HttpResponse> reply) {
+        OperatorSettings next;
+        Revision version;
+        try {
+            Fields in = Json.parseFields(body);
+            version = new Revision(in.unsigned("version"));
+            next = OperatorSettings.read(in.raw("settings"), present());
+        } catch (BadMessage e) {
+            reply.accept(error(400, e.getMessage()));
+            return;
+        }
+        client.txn(List.of(new Guard(Keys.OPERATOR_SETTINGS, version)),
+                List.of(Change.put(Keys.OPERATOR_SETTINGS, next.write())), outcome -> {
+                    switch (outcome.kind()) {
+                        case COMMITTED -> {
+                            LOG.info("settings changed: {}", next);
+                            reply.accept(HttpResponse.of(200, Json.write(Json.object("version", outcome.revision().number(),
+                                    "settings", next.write()))));
+                        }
+                        case CONFLICT -> reply.accept(error(409, "the settings have changed since that version"));
+                        default -> reply.accept(error(503, "the state service did not confirm the change: look before trying again"));
+                    }
+                });
+    }
+}
--- /dev/null
+++ b/src/main/java/org/quincecross/admin/OperatorSettings.java
@@ -0,0 +1,42 @@
+package org.quincecross.admin;
+
+import java.util.Map;
+import org.quincecross.wire.BadMessage;
+import org.quincecross.wire.Fields;
+import org.quincecross.wire.Json;
+
+/**
+ * The operators' own settings, the same on all controllers.
+ *
+ * @param renting whether machines are rented
+ * @param returning whether idle machines go back
+ * @param idleSeconds how long a machine is kept idle, beyond half its boot time
+ * @param spareTasks for how many more tasks of the highest priority there is always to be room
+ */
+public record OperatorSettings(boolean renting, boolean returning, double idleSeconds, int spareTasks) {
+    public static final OperatorSettings DEFAULTS = new OperatorSettings(true, true, 25, 2);
+    private static final double LONGEST_IDLE_S = 86_400;
+    private static final int MOST_SPARE = 1000;
+
+    /** Reads settings; what is left out keeps its value of {@code before}. Unknown names are refused. */
+    public static OperatorSettings read(Object value, OperatorSettings before) throws BadMessage {
+        Fields in = Fields.of(value, "the settings");
+        if (value instanceof Map<?, ?> map) {
+            for (Object name : map.keySet()) {
+                if (!before.write().containsKey(name)) {
+                    throw new BadMessage("unknown setting " + name);
+                }
+            }
+        }
+        double idle = in.has("idle_s") ? in.amount("idle_s") : before.idleSeconds();
+        if (idle > LONGEST_IDLE_S) {
+            throw new BadMessage("field idle_s of the settings is longer than a day");
+        }
+        return new OperatorSettings(in.flagOr("renting", before.renting()), in.flagOr("returning", before.returning()), idle,
+                in.has("spare_tasks") ? in.count("spare_tasks", 0, MOST_SPARE) : before.spareTasks());
+    }
+
+    public Map<String, Object> write() {
+        return Json.object("renting", renting, "returning", returning, "idle_s", idleSeconds, "spare_tasks", spareTasks);
+    }
+}
--- a/src/main/java/org/quincecross/api/Controller.java
+++ b/src/main/java/org/quincecross/api/Controller.java
@@ -5,6 +5,8 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import org.quincecross.admin.AdminApi;
+import org.quincecross.admin.Metrics;
 import org.quincecross.block.HolderContext;
 import org.quincecross.block.Holdings;
 import org.quincecross.http.HttpRequest;
@@ -62,6 +64,8 @@
     private final Fleet fleet;
     private final UserApi users;
     private final AgentApi agents;
+    private final AdminApi admin;
+    private final Metrics metrics = new Metrics();
     private final Map<MemberId, Peer> heard = new HashMap<>();
     private final Map<MachineId, List<String>> images = new HashMap<>();
     private final Span longestUnconfirmed;
@@ -78,10 +82,12 @@
         follower = new Follower(timers, client, ledger);
         membership = new Membership(timers, client, settings.member(), settings.zone());
         holdings = new Holdings(this, settings.member(), membership::life);
-        fleet = new Fleet(timers, http, ledger, settings, foresight, membership::life);
+        fleet = new Fleet(timers, http, ledger, settings, foresight, membership::life,
+                () -> AdminApi.settings(ledger));
         leader = new Leader(timers, client, ledger, follower, membership, settings, fleet, foresight, clockMs);
         users = new UserApi(timers, ledger, follower, client, settings, this::running, clockMs);
         agents = new AgentApi(timers, ledger, holdings, leader, settings.member());
+        admin = new AdminApi(timers, ledger, follower, membership, client, holdings, leader, metrics);
         longestUnconfirmed = longestUnconfirmed(settings.workers());
     }
 
@@ -158,7 +164,17 @@
 
     @Override
     public void handle(HttpRequest request, Consumer<HttpResponse> reply) {
+        SteadyTime begun = timers.now();
         String path = request.path();
+        String what = path.startsWith(JobCodec.JOBS) ? request.method() + (path.endsWith(JobCodec.CANCEL) ? " cancel" : " job")
+                : path.equals(WorkerCodec.BEAT) ? "report" : "other";
+        route(request, path, response -> {
+            metrics.record(what, response.status(), timers.now().since(begun));
+            reply.accept(response);
+        });
+    }
+
+    private void route(HttpRequest request, String path, Consumer<HttpResponse> reply) {
         if (path.equals(WorkerCodec.BEAT)) {
             if (request.method().equals("POST")) {
                 agents.beat(request.body(), reply);
@@ -169,6 +185,8 @@
             users.handle(request, reply);
         } else if (path.equals(JobCodec.HEALTH)) {
             reply.accept(request.method().equals("GET") ? HttpResponse.of(isHealthy() ? 200 : 503) : HttpResponse.of(405));
+        } else if (path.startsWith(AdminApi.ROOT + "/")) {
+            admin.handle(request, reply);
         } else {
             reply.accept(HttpResponse.of(404));
         }
--- a/src/main/java/org/quincecross/leader/Fleet.java
+++ b/src/main/java/org/quincecross/leader/Fleet.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Supplier;
+import org.quincecross.admin.OperatorSettings;
 import org.quincecross.model.Incarnation;
 import org.quincecross.model.Job;
 import org.quincecross.model.MachineId;
@@ -36,14 +37,11 @@
     private static final Span TICK = Span.ofMillis(500);
     private static final Span CATALOG_EVERY = Span.ofSeconds(60);
     private static final Span LIST_EVERY = Span.ofSeconds(4);
-    private static final Span IDLE_FOR = Span.ofSeconds(25);
     private static final Span REFUSED_FOR = Span.ofSeconds(15);
     private static final Span CONSOLIDATE_FIRST = Span.ofSeconds(60);
     private static final Span CONSOLIDATE_EVERY = Span.ofSeconds(12);
     private static final int MOST_MOVED_AT_ONCE = 3;
     private static final double MOST_USED_TO_EMPTY = 0.55;
-    /** Tasks of the most urgent kind for which there is always to be room. */
-    private static final int SPARE_TASKS = 2;
     private static final int MOST_REQUESTS_AT_ONCE = 3;
     private static final int MOST_AT_ONCE = 6;
     private static final int MOST_RETURNED_AT_ONCE = 50;
@@ -64,6 +62,7 @@
     private final Ledger ledger;
     private final Settings settings;
     private final Foresight foresight;
+    private final Supplier<OperatorSettings> operators;
     private final Supplier<Incarnation> life;
     private final Map<String, MachineType> catalog = new TreeMap<>();
     private final Map<MachineId, CloudCodec.Listed> listed = new TreeMap<>();
@@ -86,12 +85,13 @@
     private long requests;
 
     public Fleet(Timers timers, HttpCaller http, Ledger ledger, Settings settings, Foresight foresight,
-            Supplier<Incarnation> life) {
+            Supplier<Incarnation> life, Supplier<OperatorSettings> operators) {
         this.timers = timers;
         this.cloud = new CloudClient(timers, http, settings.cloud(), settings.cloudLimits().requestsPerS());
         this.ledger = ledger;
         this.settings = settings;
         this.foresight = foresight;
+        this.operators = operators;
         this.life = life;
         SteadyTime now = timers.now();
         catalogAfter = now;
@@ -277,7 +277,8 @@
     private Span keepIdle(MachineId machine) {
         BlockLease block = ledger.blockOf(machine);
         MachineType type = block == null ? null : ledger.types().get(block.type());
-        return type == null ? IDLE_FOR : IDLE_FOR.plus(type.boot().times(0.5));
+        Span idle = Span.ofSeconds(operators.get().idleSeconds());
+        return type == null ? idle : idle.plus(type.boot().times(0.5));
     }
 
     /** Whether as many whole machines stay without this one as are kept for large work. */
@@ -305,7 +306,7 @@
 
     /** Whether nothing waits for room and nothing is going on that may soon ask for some. */
     private boolean isCalm(View current) {
-        return unmet.isEmpty() && booting.isEmpty() && current.strays().isEmpty()
+        return operators.get().returning() && unmet.isEmpty() && booting.isEmpty() && current.strays().isEmpty()
                 && current.machines().values().stream().allMatch(PeerReport.MachineState::fenced);
     }
 
@@ -317,18 +318,19 @@
         }
         Resources each = foresight.urgentTask();
         Resources free = Resources.NONE;
+        int spare = operators.get().spareTasks();
         int slots = 0;
         for (Map.Entry<MachineId, PeerReport.MachineState> other : current.machines().entrySet()) {
             BlockLease home = ledger.blockOf(other.getKey());
             if (!other.getKey().equals(machine) && other.getValue().images().containsAll(images)
                     && home != null && home.type().equals(block.type()) && !home.spot()
                     && !wanted.contains(other.getKey()) && !home.leaving().contains(other.getKey())) {
-                slots += each.cpus() > 0 ? other.getValue().free().count(each) : SPARE_TASKS;
+                slots += each.cpus() > 0 ? other.getValue().free().count(each) : spare;
                 free = free.plus(other.getValue().free());
             }
         }
         int needed = each.cpus() > 0 ? (int) Math.ceil(tasks.shareOf(each)) : 0;
-        return slots >= needed + SPARE_TASKS && tasks.fitsIn(free);
+        return slots >= needed + spare && tasks.fitsIn(free);
     }
 
     /**
@@ -382,7 +384,7 @@
     // ---- renting ----
 
     private void rent(SteadyTime now) {
-        if (renting > 0 || now.isBefore(rentAfter) || unmet.isEmpty() || catalog.isEmpty()) {
+        if (!operators.get().renting() || renting > 0 || now.isBefore(rentAfter) || unmet.isEmpty() || catalog.isEmpty()) {
             return;
         }
         for (Map.Entry<Kind, Integer> wish : wishes(now).entrySet()) {
