--- a/src/main/java/org/quincecross/leader/Leader.java
+++ b/src/main/java/org/quincecross/leader/Leader.java
@@ -56,6 +56,7 @@
 public final class Leader {
     private static final Logger LOG = LoggerFactory.getLogger(Leader.class);
     private static final Span TICK = Span.ofMillis(100);
+    private static final Span GATHER_RESULTS = Span.ofSeconds(2.5);
     /** "Neighbours start at six similar machines per block." */
     private static final int BLOCK_SIZE = 6;
     private static final Span REBALANCE_EVERY = Span.ofSeconds(8);
@@ -84,6 +85,7 @@
     private final LongSupplier clockMs;
     private final Map<MemberId, Heard> heard = new HashMap<>();
     private final Map<MachineId, Machine> newcomers = new LinkedHashMap<>();
+    private final Map<JobId, SteadyTime> resultsSince = new HashMap<>();
     private State state = State.FOLLOWING;
     private boolean writing;
     private Revision awaited = Revision.NONE;
@@ -170,6 +172,7 @@
         }
         if (!leadsByLedger()) {
             enter(State.FOLLOWING);
+            client.lead(false);
             newcomers.clear();
             fleet.stop();
             if (ledger.leader() == null && membership.isLive()) {
@@ -239,6 +242,7 @@
     // ---- leading ----
 
     private void lead() {
+        client.lead(true);
         fleet.lead(this::fleetView);
         // As large as the budget is now: a transaction that waits for its turn is out of date when it goes out.
         int changes = Math.min(settings.stateLimits().txnChanges(), client.changesAffordable());
@@ -457,29 +461,19 @@
 
     /** Makes completions durable; a job whose last task is done becomes done in the same stroke. */
     private void planResults(TxnPlan plan) {
-        Map<JobId, TaskSet> fresh = new LinkedHashMap<>();
-        for (Heard report : heard.values()) {
-            for (PeerReport.Block block : report.report().blocks()) {
-                for (TaskId task : block.completed()) {
-                    JobRecord job = ledger.job(task.job());
-                    if (job != null && job.phase() == JobPhase.OPEN && task.index() < job.job().tasks()
-                            && !ledger.isDone(task.job(), task.index())) {
-                        TaskSet done = fresh.computeIfAbsent(task.job(), id -> new TaskSet());
-                        done.add(task.index());
-                        // A gang completes as one, also where the machine of one of its tasks is lost right after.
-                        for (int i = 0; job.job().shape() == Shape.GANG && i < job.job().tasks(); i++) {
-                            done.add(i);
-                        }
-                    }
-                }
-            }
-        }
+        Map<JobId, TaskSet> fresh = completions();
+        SteadyTime now = timers.now();
+        resultsSince.keySet().retainAll(fresh.keySet());
         List<JobId> unfinished = new ArrayList<>();
         fresh.forEach((id, tasks) -> {
             TaskSet all = ledger.doneTasks(id);
             all.addAll(tasks);
             if (all.size() < ledger.job(id).job().tasks()) {
-                unfinished.add(id);
+                // Its machine keeps the result until it is durable, so a part of a job may wait for more of it.
+                SteadyTime since = resultsSince.computeIfAbsent(id, j -> now);
+                if (now.since(since).isMoreThan(GATHER_RESULTS)) {
+                    unfinished.add(id);
+                }
             } else {
                 plan.put(Keys.job(id), JobRecord.done());
             }
@@ -498,9 +492,32 @@
         }
     }
 
+    /** The completions that holders report and that are not durable yet. */
+    private Map<JobId, TaskSet> completions() {
+        Map<JobId, TaskSet> fresh = new LinkedHashMap<>();
+        for (Heard report : heard.values()) {
+            for (PeerReport.Block block : report.report().blocks()) {
+                for (TaskId task : block.completed()) {
+                    JobRecord job = ledger.job(task.job());
+                    if (job != null && job.phase() == JobPhase.OPEN && task.index() < job.job().tasks()
+                            && !ledger.isDone(task.job(), task.index())) {
+                        TaskSet done = fresh.computeIfAbsent(task.job(), id -> new TaskSet());
+                        done.add(task.index());
+                        // A gang completes as one, also where the machine of one of its tasks is lost right after.
+                        for (int i = 0; job.job().shape() == Shape.GANG && i < job.job().tasks(); i++) {
+                            done.add(i);
+                        }
+                    }
+                }
+            }
+        }
+        return fresh;
+    }
+
     // ---- allocations ----
 
     private void planAllocations(TxnPlan plan, Set<BlockId> leased) {
+        Map<JobId, TaskSet> completed = completions();
         Map<BlockId, Map<JobId, TaskSet>> held = new TreeMap<>();
         Map<BlockId, Set<TaskId>> released = new HashMap<>();
         Set<BlockId> dirty = new HashSet<>();
@@ -521,7 +538,7 @@
             BlockLease lease = ledger.blocks().get(id);
             jobs.forEach((jobId, tasks) -> {
                 Job job = ledger.job(jobId).job();
-                teamUse.merge(job.team(), job.each().times(tasks.size()), Resources::plus);
+                teamUse.merge(job.team(), job.each().times(stillRunning(tasks, completed.get(jobId))), Resources::plus);
                 out.computeIfAbsent(jobId, j -> new TaskSet()).addAll(tasks);
                 if (lease != null) {
                     perZone.computeIfAbsent(jobId, j -> new TreeMap<>()).merge(lease.zone(), tasks.size(), Integer::sum);
@@ -531,7 +548,8 @@
         for (BlockLease lease : ledger.blocks().values()) {
             if (!leased.contains(lease.id())) {
                 Admission.Block block = admissionBlock(lease);
-                held.getOrDefault(lease.id(), Map.of()).forEach((id, tasks) -> block.count(ledger.job(id).job(), tasks.size()));
+                held.getOrDefault(lease.id(), Map.of()).forEach((id, tasks) ->
+                        block.count(ledger.job(id).job(), stillRunning(tasks, completed.get(id))));
                 blocks.add(block);
                 reserves.put(lease.id(), foresight.of(lease.id(), timers.now()));
             }
@@ -559,6 +577,15 @@
         }
     }
 
+    /** How many of a block's tasks still take room: a completed one has exited, durable or not. */
+    private static int stillRunning(TaskSet tasks, TaskSet completed) {
+        int count = tasks.size();
+        for (int i = completed == null ? -1 : completed.next(0); i >= 0; i = completed.next(i + 1)) {
+            count -= tasks.has(i) ? 1 : 0;
+        }
+        return count;
+    }
+
     private static TaskSet without(TaskSet tasks, int index) {
         TaskSet fewer = tasks.copy();
         fewer.remove(index);
--- a/src/main/java/org/quincecross/state/StateClient.java
+++ b/src/main/java/org/quincecross/state/StateClient.java
@@ -31,7 +31,9 @@
     private static final Span WAIT_FOR_BUDGET = Span.ofMillis(20);
     /** The controllers share the limits; all of them are seldom busy at once, so each may use more than its part. */
     private static final double REQUEST_SHARE = 0.45;
-    private static final double WRITE_SHARE = 0.6;
+    /** Nearly all changes are the leader's; the others only accept and cancel jobs. */
+    private static final double LEADER_WRITE_SHARE = 0.8;
+    private static final double OTHERS_WRITE_SHARE = 0.4;
 
     private record Waiting(double writes, Runnable send) {
     }
@@ -40,7 +42,9 @@
     private final HttpCaller http;
     private final Endpoint service;
     private final Limiter requests;
-    private final Limiter writes;
+    private final double writesPerSecond;
+    private Limiter writes;
+    private boolean leading;
     private final ArrayDeque<Waiting> waitingReads = new ArrayDeque<>();
     private final ArrayDeque<Waiting> waitingTxns = new ArrayDeque<>();
     private boolean draining;
@@ -50,9 +54,19 @@
         this.http = http;
         this.service = service;
         double perSecond = limits.requestsPerS() * REQUEST_SHARE;
-        double writesPerSecond = limits.writesPerS() * WRITE_SHARE;
+        writesPerSecond = limits.writesPerS();
         requests = new Limiter(perSecond, perSecond * 0.5, timers.now());
-        writes = new Limiter(writesPerSecond, writesPerSecond, timers.now());
+        writes = new Limiter(writesPerSecond * OTHERS_WRITE_SHARE, writesPerSecond * OTHERS_WRITE_SHARE, timers.now());
+    }
+
+    /** Says whether this controller leads, and so has most of the changes to make. */
+    public void lead(boolean now) {
+        if (leading != now) {
+            leading = now;
+            double share = writesPerSecond * (now ? LEADER_WRITE_SHARE : OTHERS_WRITE_SHARE);
+            writes = new Limiter(share, share, timers.now());
+            writes.drain(timers.now());
+        }
     }
 
     /** Sends a read that may wait for its turn. */
