--- a/src/main/java/org/quincecross/net/Connection.java
+++ b/src/main/java/org/quincecross/net/Connection.java
@@ -1,10 +1,13 @@
 package org.quincecross.net;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
 import java.util.ArrayDeque;
+import org.quincecross.model.Endpoint;
 
 /** A TCP connection on the loop: what is read goes to a sink, what cannot be written yet is kept. */
 final class Connection implements Loop.Waker {
@@ -38,6 +41,20 @@
         key = loop.register(channel, connected ? SelectionKey.OP_READ : SelectionKey.OP_CONNECT, this);
     }
 
+    /** Begins to connect; the sink hears when that has worked or failed. */
+    static Connection connect(Loop loop, Endpoint to, Sink sink) throws IOException {
+        SocketChannel socket = SocketChannel.open();
+        try {
+            socket.configureBlocking(false);
+            socket.setOption(StandardSocketOptions.TCP_NODELAY, true);
+            boolean connected = socket.connect(new InetSocketAddress(to.host(), to.port()));
+            return new Connection(loop, socket, sink, connected);
+        } catch (IOException e) {
+            socket.close();
+            throw e;
+        }
+    }
+
     /** The one place where a connection changes its state. */
     private void enter(State next) {
         state = next;
--- a/src/main/java/org/quincecross/net/FrameSender.java
+++ b/src/main/java/org/quincecross/net/FrameSender.java
@@ -1,10 +1,7 @@
 package org.quincecross.net;
 
 import java.io.IOException;
-import java.net.InetSocketAddress;
-import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
-import java.nio.channels.SocketChannel;
 import org.quincecross.model.Endpoint;
 import org.quincecross.model.Span;
 
@@ -41,17 +38,7 @@
 
     private void connect() {
         try {
-            SocketChannel socket = SocketChannel.open();
-            socket.configureBlocking(false);
-            socket.setOption(StandardSocketOptions.TCP_NODELAY, true);
-            boolean connected;
-            try {
-                connected = socket.connect(new InetSocketAddress(to.host(), to.port()));
-            } catch (IOException e) {
-                socket.close();
-                throw e;
-            }
-            Connection made = new Connection(loop, socket, new Connection.Sink() {
+            Connection made = Connection.connect(loop, to, new Connection.Sink() {
                 @Override
                 public void received(ByteBuffer bytes) {
                     // nothing is said on this side of the link
@@ -61,7 +48,7 @@
                 public void closed() {
                     dropConnection();
                 }
-            }, connected);
+            });
             connection = made;
             loop.after(CONNECT_TIMEOUT, () -> {
                 if (connection == made && made.state() == Connection.State.CONNECTING) {
--- a/src/main/java/org/quincecross/net/HttpClient.java
+++ b/src/main/java/org/quincecross/net/HttpClient.java
@@ -1,10 +1,7 @@
 package org.quincecross.net;
 
 import java.io.IOException;
-import java.net.InetSocketAddress;
-import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
-import java.nio.channels.SocketChannel;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Map;
@@ -73,17 +70,7 @@
 
         Line(Endpoint to) throws IOException {
             this.to = to;
-            SocketChannel socket = SocketChannel.open();
-            socket.configureBlocking(false);
-            socket.setOption(StandardSocketOptions.TCP_NODELAY, true);
-            boolean connected;
-            try {
-                connected = socket.connect(new InetSocketAddress(to.host(), to.port()));
-            } catch (IOException e) {
-                socket.close();
-                throw e;
-            }
-            connection = new Connection(loop, socket, this, connected);
+            connection = Connection.connect(loop, to, this);
         }
 
         /** The one place where a call changes its state. */
