--- a/src/main/java/org/quincecross/leader/Leader.java
+++ b/src/main/java/org/quincecross/leader/Leader.java
@@ -538,7 +538,9 @@
             BlockLease lease = ledger.blocks().get(id);
             jobs.forEach((jobId, tasks) -> {
                 Job job = ledger.job(jobId).job();
-                teamUse.merge(job.team(), job.each().times(stillRunning(tasks, completed.get(jobId))), Resources::plus);
+                // All of it counts against the team's limit, completed or not: a completion that is lost with its holder
+                // and its machine before it is durable is run again under this allocation.
+                teamUse.merge(job.team(), job.each().times(tasks.size()), Resources::plus);
                 out.computeIfAbsent(jobId, j -> new TaskSet()).addAll(tasks);
                 if (lease != null) {
                     perZone.computeIfAbsent(jobId, j -> new TreeMap<>()).merge(lease.zone(), tasks.size(), Integer::sum);
