--- a/src/main/java/org/quincecross/api/AgentApi.java
+++ b/src/main/java/org/quincecross/api/AgentApi.java
@@ -89,6 +89,10 @@
             if (answer != null) {
                 strays.remove(machine);
                 reply.accept(HttpResponse.of(200, answer));
+            } else if (holder != null) {
+                // Another controller has the block and this one does not know yet which: the next will say, and every
+                // second that the machine waits here is lost to its lease.
+                reply.accept(HttpResponse.of(503));
             } else {
                 waitForLease(report, until, reply);
             }
--- a/src/main/java/org/quincecross/leader/Leader.java
+++ b/src/main/java/org/quincecross/leader/Leader.java
@@ -62,6 +62,7 @@
     private static final Span REBALANCE_EVERY = Span.ofSeconds(8);
     /** Moving a block costs a moment and what its holder has learnt of it: a small gain is not worth that. */
     private static final int REBALANCE_GAIN = 4;
+    private static final Span UNCONFIRMED = Span.ofSeconds(2);
     private static final Span REPORT_FRESH = Span.ofSeconds(2.5);
     /** A job that nobody waits for by a certain time comes after those of about an hour's patience. */
     private static final double NO_DEADLINE_S = 3600;
@@ -185,7 +186,11 @@
             return;
         }
         enter(State.LEADING);
-        lead();
+        // A leader that alone has lost the state service can decide nothing: its plans would be refused, again and
+        // again, while another one leads already.
+        if (!timers.now().since(follower.confirmed()).isMoreThan(UNCONFIRMED)) {
+            lead();
+        }
     }
 
     private void stand() {
