--- a/src/main/java/org/quincecross/api/AgentApi.java
+++ b/src/main/java/org/quincecross/api/AgentApi.java
@@ -89,7 +89,7 @@
             if (answer != null) {
                 strays.remove(machine);
                 reply.accept(HttpResponse.of(200, answer));
-            } else if (holder != null) {
+            } else if (holder != null && holder.isSuperseded()) {
                 // Another controller has the block and this one does not know yet which: the next will say, and every
                 // second that the machine waits here is lost to its lease.
                 reply.accept(HttpResponse.of(503));
--- a/src/main/java/org/quincecross/block/BlockHolder.java
+++ b/src/main/java/org/quincecross/block/BlockHolder.java
@@ -98,6 +98,11 @@
         return lease.id();
     }
 
+    /** Whether a machine has shown that another controller has the block, though the ledger here does not say so yet. */
+    public boolean isSuperseded() {
+        return superseded;
+    }
+
     private Token token() {
         return lease.token();
     }
