--- a/src/main/java/org/quincecross/admin/AdminApi.java
+++ b/src/main/java/org/quincecross/admin/AdminApi.java
@@ -11,6 +11,7 @@
 import org.quincecross.leader.Leader;
 import org.quincecross.model.Revision;
 import org.quincecross.net.Timers;
+import org.quincecross.peer.PeerReport;
 import org.quincecross.state.BlockLease;
 import org.quincecross.state.Follower;
 import org.quincecross.state.Keys;
@@ -115,10 +116,10 @@
     private Object machines() {
         List<Object> list = new ArrayList<>();
         for (BlockHolder holder : holdings.all()) {
-            for (BlockHolder.MachineView machine : holder.machines()) {
-                list.add(Json.object("machine", machine.machine().text(), "block", holder.id().text(), "free_cpus",
+            for (PeerReport.MachineState machine : holder.machines()) {
+                list.add(Json.object("machine", machine.id().text(), "block", holder.id().text(), "free_cpus",
                         machine.free().cpus(), "free_gpus", machine.free().gpus(), "free_memory_gb", machine.free().memoryGb(),
-                        "tasks", machine.tasks(), "queued", machine.queued(), "fenced", machine.fenced(), "notice",
+                        "tasks", machine.tasks(), "queued", machine.queued(), "open", machine.open(), "fenced", machine.fenced(), "notice",
                         machine.notice(), "sick", machine.sick(), "silent_ms", machine.silent().millis(),
                         "images", machine.images()));
             }
--- a/src/main/java/org/quincecross/api/AgentApi.java
+++ b/src/main/java/org/quincecross/api/AgentApi.java
@@ -1,5 +1,6 @@
 package org.quincecross.api;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -28,15 +29,20 @@
     private static final Logger LOG = LoggerFactory.getLogger(AgentApi.class);
     /** A report whose block is just being leased waits this long for its answer; workers give up after 4 s. */
     private static final Span WAIT_FOR_LEASE = Span.ofSeconds(2.5);
-    private static final Span LOOK_AGAIN = Span.ofMillis(50);
+    private static final Span LOOK_AGAIN = Span.ofMillis(250);
     private static final Span STRAY_FOR = Span.ofSeconds(6);
 
+    private record Waiting(WorkerReport report, SteadyTime until, Consumer<HttpResponse> reply) {
+    }
+
     private final Timers timers;
     private final Ledger ledger;
     private final Holdings holdings;
     private final Leader leader;
     private final MemberId self;
     private final Map<MachineId, SteadyTime> strays = new HashMap<>();
+    private List<Waiting> waiting = new ArrayList<>();
+    private boolean lookPlanned;
 
     AgentApi(Timers timers, Ledger ledger, Holdings holdings, Leader leader, MemberId self) {
         this.timers = timers;
@@ -115,8 +121,28 @@
     private void waitForLease(WorkerReport report, SteadyTime until, Consumer<HttpResponse> reply) {
         if (until.isBefore(timers.now())) {
             reply.accept(HttpResponse.of(503));
-        } else {
-            timers.after(LOOK_AGAIN, () -> route(report, until, reply));
+            return;
+        }
+        waiting.add(new Waiting(report, until, reply));
+        if (!lookPlanned) {
+            lookPlanned = true;
+            timers.after(LOOK_AGAIN, () -> {
+                lookPlanned = false;
+                lookAgain();
+            });
         }
     }
+
+    /** New leases may be what reports wait for. */
+    void ledgerChanged(Ledger.Changes changes) {
+        if (changes.reloaded() || !changes.blocks().isEmpty()) {
+            lookAgain();
+        }
+    }
+
+    private void lookAgain() {
+        List<Waiting> now = waiting;
+        waiting = new ArrayList<>();
+        now.forEach(each -> route(each.report(), each.until(), each.reply()));
+    }
 }
--- a/src/main/java/org/quincecross/api/Controller.java
+++ b/src/main/java/org/quincecross/api/Controller.java
@@ -24,7 +24,9 @@
 import org.quincecross.net.Timers;
 import org.quincecross.peer.PeerCodec;
 import org.quincecross.peer.PeerReport;
+import org.quincecross.peer.PeerViews;
 import org.quincecross.sched.Reserve;
+import org.quincecross.state.BlockLease;
 import org.quincecross.state.Follower;
 import org.quincecross.state.Foresight;
 import org.quincecross.state.Ledger;
@@ -41,16 +43,15 @@
 public final class Controller implements HttpHandler, HolderContext {
     private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
     private static final Span TELL_EVERY = Span.ofMillis(500);
-    private static final Span NEWS_AFTER = Span.ofMillis(30);
+    private static final Span NEWS_AFTER = Span.ofMillis(40);
+    /** What changes with time alone is looked at in every second of the regular reports. */
+    private static final int LOOK_AT_ALL_EVERY = 2;
     private static final Span PEER_FRESH = Span.ofSeconds(3);
     /** Without word from the state service for so long, this controller counts itself out. */
     private static final Span UNHEALTHY = Span.ofSeconds(3);
     /** Of the time that a cancellation has: for clocks, messages, and workers that notice late. */
     private static final Span CANCEL_MARGIN = Span.ofSeconds(4);
 
-    private record Peer(PeerReport report, SteadyTime at) {
-    }
-
     private final Timers timers;
     private final HttpCaller http;
     private final Settings settings;
@@ -66,11 +67,13 @@
     private final AgentApi agents;
     private final AdminApi admin;
     private final Metrics metrics = new Metrics();
-    private final Map<MemberId, Peer> heard = new HashMap<>();
-    private final Map<MachineId, List<String>> images = new HashMap<>();
+    private final PeerViews views = new PeerViews();
+    private final Map<MemberId, Long> sent = new HashMap<>();
     private final Span longestUnconfirmed;
     private long reports;
+    private long regularReports;
     private boolean newsPlanned;
+    private boolean newsForAll;
 
     /** {@code clockMs} tells the time of day. */
     public Controller(Timers timers, HttpCaller http, PeerSender peers, Settings settings, LongSupplier clockMs) {
@@ -84,7 +87,7 @@
         holdings = new Holdings(this, settings.member(), membership::life);
         fleet = new Fleet(timers, http, ledger, settings, foresight, membership::life,
                 () -> AdminApi.settings(ledger));
-        leader = new Leader(timers, client, ledger, follower, membership, settings, fleet, foresight, clockMs);
+        leader = new Leader(timers, client, ledger, follower, membership, settings, fleet, foresight, views, clockMs);
         users = new UserApi(timers, ledger, follower, client, settings, this::running, clockMs);
         agents = new AgentApi(timers, ledger, holdings, leader, settings.member());
         admin = new AdminApi(timers, ledger, follower, membership, client, holdings, leader, metrics);
@@ -103,32 +106,37 @@
 
     public void start() {
         ledger.listen(holdings::ledgerChanged);
-        ledger.listen(changes -> leader.soon());
+        ledger.listen(this::forgetFormerHolders);
+        ledger.listen(leader::ledgerChanged);
+        ledger.listen(agents::ledgerChanged);
         membership.start();
         follower.start();
         holdings.start();
         leader.start();
         fleet.start();
-        timers.every(TELL_EVERY, () -> tell(true));
+        timers.every(TELL_EVERY, () -> tell(true, ++regularReports % LOOK_AT_ALL_EVERY == 0));
     }
 
     // ---- the other controllers ----
 
-    private PeerReport report() {
+    private PeerReport report(long base) {
         SteadyTime confirmed = follower.confirmed();
         Span unconfirmed = confirmed == null ? Span.ofSeconds(1e6) : timers.now().since(confirmed);
-        return new PeerReport(settings.member(), membership.life(), ++reports, unconfirmed, holdings.reports(), agents.strays());
+        return new PeerReport(settings.member(), membership.life(), reports, base, views.receipts(), unconfirmed,
+                holdings.since(base), agents.strays());
     }
 
-    private void tell(boolean everyone) {
-        PeerReport report = report();
-        leader.hear(report);
-        byte[] frame = null;
+    private void tell(boolean everyone, boolean lookAtAll) {
+        reports++;
+        holdings.refresh(reports, lookAtAll);
+        PeerViews.View own = views.of(settings.member());
+        views.take(report(own == null || !own.life().equals(membership.life()) ? 0 : own.number()), timers.now());
         for (Settings.Sibling sibling : settings.siblings()) {
-            boolean leads = ledger.leader() != null && ledger.leader().member().equals(sibling.member());
-            if (everyone || leads) {
-                frame = frame == null ? PeerCodec.write(report) : frame;
-                peers.send(sibling.member(), frame);
+            MemberId member = sibling.member();
+            boolean leads = ledger.leader() != null && ledger.leader().member().equals(member);
+            if ((everyone || leads) && peers.send(member, PeerCodec.write(report(sent.getOrDefault(member, 0L))))) {
+                // On one connection nothing is lost; if this one is, the receiver will say that it has a gap.
+                sent.put(member, reports);
             }
         }
     }
@@ -137,12 +145,14 @@
     public boolean frame(byte[] frame) {
         try {
             PeerReport report = PeerCodec.read(frame);
-            heard.put(report.member(), new Peer(report, timers.now()));
-            for (PeerReport.Block block : report.blocks()) {
-                block.machines().forEach(machine -> images.put(machine.id(), machine.images()));
+            PeerReport.Receipt receipt = report.receipts().get(settings.member());
+            if (receipt != null && receipt.gap() && receipt.life().equals(membership.life())) {
+                sent.merge(report.member(), receipt.number(), Math::min);
+            }
+            if (!views.take(report, timers.now())) {
+                newsForAll = true; // with the receipt that says so
+                newsForLeader();
             }
-            images.keySet().removeIf(machine -> ledger.blockOf(machine) == null);
-            leader.hear(report);
             return true;
         } catch (BadMessage e) {
             LOG.info("{}", e.getMessage());
@@ -150,11 +160,34 @@
         }
     }
 
+    /** What a controller said of a block that another one holds now is of no use any more. */
+    private void forgetFormerHolders(Ledger.Changes changes) {
+        for (BlockId id : changes.blocks()) {
+            BlockLease lease = ledger.blocks().get(id);
+            for (Settings.Sibling sibling : settings.siblings()) {
+                forgetIfFormer(sibling.member(), id, lease);
+            }
+            forgetIfFormer(settings.member(), id, lease);
+        }
+    }
+
+    private void forgetIfFormer(MemberId member, BlockId id, BlockLease lease) {
+        PeerViews.View view = views.of(member);
+        PeerViews.BlockView block = view == null ? null : view.blocks().get(id);
+        // A report may be ahead of the ledger here: what it says of a later lease is kept.
+        if (block != null && (lease == null || !lease.holder().equals(member) && !block.token().isAfter(lease.token()))) {
+            views.forget(member, id);
+        }
+    }
+
     private int running(JobId job) {
-        int count = holdings.running().getOrDefault(job, 0);
-        for (Peer peer : heard.values()) {
-            for (PeerReport.Block block : peer.report().blocks()) {
-                count += holdings.get(block.id()) == null ? block.running().getOrDefault(job, 0) : 0;
+        int count = holdings.running(job);
+        for (Settings.Sibling sibling : settings.siblings()) {
+            PeerViews.View view = views.of(sibling.member());
+            if (view != null) {
+                for (PeerViews.BlockView block : view.blocks().values()) {
+                    count += holdings.get(block.id()) == null ? block.running().getOrDefault(job, 0) : 0;
+                }
             }
         }
         return count;
@@ -203,9 +236,10 @@
         if (!timers.now().since(follower.confirmed()).isMoreThan(UNHEALTHY)) {
             return true;
         }
-        for (Peer peer : heard.values()) {
-            boolean recent = !timers.now().since(peer.at()).isMoreThan(PEER_FRESH);
-            if (recent && !peer.report().unconfirmed().isMoreThan(UNHEALTHY)) {
+        for (Settings.Sibling sibling : settings.siblings()) {
+            PeerViews.View peer = views.of(sibling.member());
+            boolean recent = peer != null && !timers.now().since(peer.at()).isMoreThan(PEER_FRESH);
+            if (recent && !peer.unconfirmed().isMoreThan(UNHEALTHY)) {
                 return false;
             }
         }
@@ -241,7 +275,17 @@
 
     @Override
     public List<String> imagesOf(MachineId machine) {
-        return images.getOrDefault(machine, List.of());
+        BlockLease block = ledger.blockOf(machine);
+        if (block != null) {
+            for (PeerViews.View view : views.all()) {
+                PeerViews.BlockView known = view.blocks().get(block.id());
+                PeerReport.MachineState state = known == null ? null : known.machines().get(machine);
+                if (state != null) {
+                    return state.images();
+                }
+            }
+        }
+        return List.of();
     }
 
     @Override
@@ -261,7 +305,9 @@
             newsPlanned = true;
             timers.after(NEWS_AFTER, () -> {
                 newsPlanned = false;
-                tell(false);
+                boolean everyone = newsForAll;
+                newsForAll = false;
+                tell(everyone, false);
             });
         }
     }
--- a/src/main/java/org/quincecross/api/PeerSender.java
+++ b/src/main/java/org/quincecross/api/PeerSender.java
@@ -4,5 +4,5 @@
 
 /** Sends frames to the other controllers; a frame may be lost. Tests put a network of their own here. */
 public interface PeerSender {
-    void send(MemberId to, byte[] frame);
+    boolean send(MemberId to, byte[] frame);
 }
--- a/src/main/java/org/quincecross/block/BlockHolder.java
+++ b/src/main/java/org/quincecross/block/BlockHolder.java
@@ -4,10 +4,11 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.TreeMap;
+import java.util.TreeSet;
 import org.quincecross.http.HttpRequest;
 import org.quincecross.model.Attempt;
 import org.quincecross.model.BlockId;
@@ -19,6 +20,7 @@
 import org.quincecross.model.MachineType;
 import org.quincecross.model.Rank;
 import org.quincecross.model.Resources;
+import org.quincecross.model.Revision;
 import org.quincecross.model.Shape;
 import org.quincecross.model.Span;
 import org.quincecross.model.SteadyTime;
@@ -26,6 +28,7 @@
 import org.quincecross.model.TaskSet;
 import org.quincecross.model.Token;
 import org.quincecross.net.HttpOutcome;
+import org.quincecross.peer.PeerReport;
 import org.quincecross.sched.BlockScheduler;
 import org.quincecross.sched.Entry;
 import org.quincecross.sched.MachineQueue;
@@ -36,6 +39,7 @@
 import org.quincecross.wire.BadMessage;
 import org.quincecross.wire.Json;
 import org.quincecross.wire.Order;
+import org.quincecross.wire.Settings;
 import org.quincecross.wire.WorkerCodec;
 import org.quincecross.wire.WorkerReport;
 import org.quincecross.wire.WorkerReport.Cause;
@@ -67,20 +71,27 @@
 
     private final HolderContext context;
     private final Map<MachineId, Session> sessions = new LinkedHashMap<>();
-    private final Map<TaskId, Placement> placements = new TreeMap<>();
+    private final Placements placements = new Placements();
     private final Map<TaskId, Entry> entries = new HashMap<>();
     private final BlockScheduler scheduler = new BlockScheduler();
     private final Map<JobId, Set<MachineId>> failedOn = new HashMap<>();
     private final Set<JobId> succeeded = new HashSet<>();
+    private final Set<MachineId> toUpdate = new LinkedHashSet<>();
+    private final BlockReporter reporter;
     private BlockLease lease;
     private boolean settled;
     private boolean superseded;
+    private boolean stirred = true;
+    private boolean entitled;
+    private SteadyTime wakeAt;
+    private Revision synced = Revision.NONE;
     private long attempts;
 
     /** Takes over a block whose former holder, if cut off, may go on answering its machines for a while. */
     public BlockHolder(HolderContext context, BlockLease lease) {
         this.context = context;
         this.lease = lease;
+        this.reporter = new BlockReporter(this);
         SteadyTime now = context.now();
         for (Machine machine : lease.machines().values()) {
             addMachine(machine, now.plus(context.longestUnconfirmed()));
@@ -107,6 +118,11 @@
         return lease.token();
     }
 
+    /** The version of the allocation that the placements follow. */
+    Revision allocated() {
+        return synced;
+    }
+
     // ---- the lease and the allocation, as the ledger has them ----
 
     private void addMachine(Machine machine, SteadyTime leaseFrom) {
@@ -116,12 +132,18 @@
         context.imagesOf(machine.id()).forEach(session::inheritImage);
         sessions.put(machine.id(), session);
         scheduler.addMachine(machine.id(), capacity, session::hasImage);
+        stir(session);
+    }
+
+    /** What a machine has or may be given has changed: to be looked at before the next work starts. */
+    private void stir(Session session) {
+        toUpdate.add(session.machine().id());
+        stirred = true;
     }
 
-    /** The lease was renewed with a higher token, and nobody else has held the block in between. */
+    /** The lease was written anew under the same token: machines came or went, and nobody else has held the block. */
     public void renewed(BlockLease next) {
         lease = next;
-        superseded = false;
         SteadyTime now = context.now();
         for (MachineId machine : List.copyOf(sessions.keySet())) {
             if (!next.machines().containsKey(machine)) {
@@ -137,20 +159,41 @@
                 addMachine(machine, now);
             }
         }
-        for (Session session : sessions.values()) {
-            if (session.state() == Session.State.FENCED) {
-                session.enter(Session.State.UNFENCED);
-            }
-        }
+        sessions.values().forEach(this::stir);
+        reporter.begin();
         settle();
         sync();
         fence();
     }
 
-    /** Brings the placements in line with the ledger. */
+    /** Brings the placements in line with the allocation, if that has changed. */
     public void sync() {
-        SteadyTime now = context.now();
         Allocation allocation = context.ledger().allocation(id());
+        if (!allocation.version().equals(synced)) {
+            synced = allocation.version();
+            reporter.headerChanged();
+            take(allocation);
+        }
+        act();
+    }
+
+    /** Brings the placements of jobs whose records have changed in line with them. */
+    public void jobsChanged(Set<JobId> jobs) {
+        SteadyTime now = context.now();
+        boolean ours = false;
+        for (JobId job : jobs) {
+            for (Placement placement : placements.ofJob(job)) {
+                ours = true;
+                syncPlacement(placement, now);
+            }
+        }
+        if (ours) {
+            act();
+        }
+    }
+
+    private void take(Allocation allocation) {
+        SteadyTime now = context.now();
         for (Map.Entry<JobId, TaskSet> allocated : allocation.tasks().entrySet()) {
             JobRecord job = context.ledger().job(allocated.getKey());
             if (job == null || job.job() == null) {
@@ -159,24 +202,21 @@
             TaskSet tasks = allocated.getValue();
             for (int i = tasks.next(0); i >= 0; i = tasks.next(i + 1)) {
                 TaskId task = job.id().task(i);
-                if (!placements.containsKey(task) && !context.ledger().isDone(job.id(), i)) {
-                    Placement placement = new Placement(task, job.job(),
-                            settled ? Placement.State.WAITING : Placement.State.UNSETTLED, now);
-                    placements.put(task, placement);
+                if (!placements.has(task) && !context.ledger().isDone(job.id(), i)) {
+                    placements.add(task, job.job(), settled ? Placement.State.WAITING : Placement.State.UNSETTLED, now);
                 }
             }
         }
-        for (Placement placement : List.copyOf(placements.values())) {
-            syncPlacement(placement, allocation, now);
-        }
-        enqueueWaiting();
-        act();
+        placements.all().forEach(placement -> syncPlacement(placement, now));
     }
 
-    private void syncPlacement(Placement placement, Allocation allocation, SteadyTime now) {
+    private void syncPlacement(Placement placement, SteadyTime now) {
         TaskId task = placement.task();
+        if (placements.get(task) != placement) {
+            return; // dropped since
+        }
         JobRecord job = context.ledger().job(task.job());
-        boolean allocated = allocation.has(task.job(), task.index());
+        boolean allocated = context.ledger().allocation(id()).has(task.job(), task.index());
         if (context.ledger().isDone(task.job(), task.index()) || job == null || job.phase() == JobPhase.DONE) {
             if (placement.isBound()) {
                 placement.stop(Span.ZERO, true, now); // done once already: a second run serves nobody
@@ -202,7 +242,7 @@
 
     private void drop(Placement placement) {
         dequeue(placement.task());
-        placements.remove(placement.task());
+        placements.remove(placement);
     }
 
     private void dequeue(TaskId task) {
@@ -227,9 +267,9 @@
 
     /** Puts what waits into queues; a gang as a whole, once all of its tasks wait. */
     private void enqueueWaiting() {
-        for (Placement placement : placements.values()) {
+        for (Placement placement : placements.in(Placement.State.WAITING)) {
             if (placement.state() != Placement.State.WAITING || entries.containsKey(placement.task()) || !mayStart(placement)) {
-                continue;
+                continue; // gathering a gang may have moved it on
             }
             Job job = placement.job();
             List<TaskId> unit = job.shape() == Shape.GANG ? gatherGang(job) : List.of(placement.task());
@@ -244,7 +284,9 @@
                     entry.avoided().clear();
                 }
                 double wait = Math.min(30, 0.5 * Math.pow(2, Math.min(placement.failures(), 6)));
-                entry.holdBack(context.now().plus(Span.ofSeconds(wait)));
+                SteadyTime ready = context.now().plus(Span.ofSeconds(wait));
+                entry.holdBack(ready);
+                wakeBy(ready);
             }
             if (scheduler.enqueue(entry)) {
                 unit.forEach(task -> entries.put(task, entry));
@@ -252,6 +294,13 @@
         }
     }
 
+    /** Has the queues looked at again at a time, though nothing may have happened by then. */
+    private void wakeBy(SteadyTime time) {
+        if (wakeAt == null || time.isBefore(wakeAt)) {
+            wakeAt = time;
+        }
+    }
+
     /**
      * The tasks of a gang, if all of them wait here; else none. A gang that has lost a task cannot go on: what is left
      * of it is stopped, or it would occupy its places until it notices; and one that the block does not have whole goes
@@ -315,7 +364,10 @@
         }
         session.hear(now);
         session.answered(now);
-        schedule();
+        if (!session.wasOpen() && isOpen(session)) {
+            stir(session);
+        }
+        settleChanges();
         List<Order> orders = session.state() == Session.State.FENCED ? orders(session) : List.of();
         tell(orders, report.order());
         byte[] answer = WorkerCodec.writeAnswer(token(), orders);
@@ -334,13 +386,18 @@
             return;
         }
         SteadyTime now = context.now();
-        boolean newSession = session.report() != null && session.report().session() != report.session();
+        WorkerReport before = session.report();
+        boolean newSession = before != null && before.session() != report.session();
         session.take(report);
+        if (before == null || newSession || report.notice() != null || !before.pieces().equals(report.pieces())) {
+            stir(session);
+        }
         if (newSession || session.state() == Session.State.LOST) {
             // The worker has killed and forgotten all that it had, and what it has now is in this report.
             freeUnreported(session, now);
             if (session.state() == Session.State.LOST) {
                 session.enter(Session.State.UNFENCED);
+                stir(session);
             }
         }
         if (!report.token().equals(token())) {
@@ -348,6 +405,7 @@
         }
         if (session.state() != Session.State.FENCED) {
             session.enter(Session.State.FENCED);
+            stir(session);
             LOG.debug("block {}: machine {} fenced", id(), session.machine().id());
         }
         for (Piece piece : report.pieces()) {
@@ -428,6 +486,7 @@
         if (blame >= 2 && !session.isSick()) {
             LOG.info("block {}: machine {} fails what it is given: no more work there", id(), session.machine().id());
             session.markSick();
+            stir(session);
             context.newsForLeader();
         }
     }
@@ -439,8 +498,8 @@
             reported.add(piece.task());
         }
         MachineId machine = session.machine().id();
-        for (Placement placement : placements.values()) {
-            if (!placement.isBound() || !placement.machine().equals(machine) || reported.contains(placement.task())) {
+        for (Placement placement : placements.on(machine)) {
+            if (!placement.isBound() || reported.contains(placement.task())) {
                 continue;
             }
             boolean certain = !session.mayStillStart(placement.attempt())
@@ -457,9 +516,8 @@
     private void freeUnreported(Session session, SteadyTime now) {
         Set<Attempt> reported = new HashSet<>();
         session.report().pieces().forEach(piece -> reported.add(piece.attempt()));
-        for (Placement placement : placements.values()) {
-            if (placement.isBound() && placement.machine().equals(session.machine().id())
-                    && !reported.contains(placement.attempt())) {
+        for (Placement placement : placements.on(session.machine().id())) {
+            if (placement.isBound() && !reported.contains(placement.attempt())) {
                 placement.gone(now);
             }
         }
@@ -467,8 +525,8 @@
     }
 
     private void freeAll(MachineId machine, SteadyTime now) {
-        for (Placement placement : placements.values()) {
-            if (placement.isBound() && placement.machine().equals(machine)) {
+        for (Placement placement : placements.on(machine)) {
+            if (placement.isBound()) {
                 placement.gone(now);
             }
         }
@@ -483,11 +541,7 @@
         settled = true;
         LOG.info("block {}: all {} machines fenced or lost, token {}", id(), sessions.size(), token());
         SteadyTime now = context.now();
-        for (Placement placement : placements.values()) {
-            if (placement.state() == Placement.State.UNSETTLED) {
-                placement.gone(now);
-            }
-        }
+        placements.in(Placement.State.UNSETTLED).forEach(placement -> placement.gone(now));
     }
 
     // ---- what goes on by itself ----
@@ -501,18 +555,36 @@
                 LOG.info("block {}: machine {} is silent and its lease is over", id(), session.machine().id());
                 session.enter(Session.State.LOST);
                 freeAll(session.machine().id(), now);
+                stir(session);
                 settle();
             }
+            if (session.wasOpen() != isOpen(session)) {
+                stir(session); // by falling silent
+            }
         }
-        sync();
+        if (entitled != context.isEntitled() || wakeAt != null && !now.isBefore(wakeAt)) {
+            stirred = true;
+        }
+        act();
         fence();
     }
 
     private void act() {
-        schedule();
+        settleChanges();
         sendDirects();
     }
 
+    /** Lets what has changed follow the ledger, then starts what can start; costs next to nothing where nothing changed. */
+    private void settleChanges() {
+        SteadyTime now = context.now();
+        while (placements.hasChanged()) {
+            placements.takeChanged().forEach(placement -> syncPlacement(placement, now));
+        }
+        if (placements.takeStirred() || stirred) {
+            schedule();
+        }
+    }
+
     private boolean isOpen(Session session) {
         return session.state() == Session.State.FENCED && !session.isSick() && !session.hasNotice()
                 && !lease.leaving().contains(session.machine().id())
@@ -520,15 +592,25 @@
     }
 
     private void schedule() {
-        if (superseded || !context.isEntitled()) {
+        entitled = context.isEntitled();
+        stirred = false;
+        if (superseded || !entitled) {
             return;
         }
+        wakeAt = null;
         enqueueWaiting();
         SteadyTime now = context.now();
-        for (Session session : sessions.values()) {
-            scheduler.update(session.machine().id(), used(session), isOpen(session));
-            scheduler.fetching(session.machine().id(), fetching(session));
+        toUpdate.addAll(placements.takeChangedMachines());
+        for (MachineId machine : toUpdate) {
+            Session session = sessions.get(machine);
+            if (session != null) {
+                session.found(isOpen(session));
+                scheduler.update(machine, used(session), session.wasOpen());
+                scheduler.fetching(machine, fetching(session));
+            }
         }
+        reporter.machinesChanged(toUpdate);
+        toUpdate.clear();
         scheduler.reserve(context.reserves(id()));
         for (BlockScheduler.Start start : scheduler.schedule(now)) {
             start.entry().tasks().forEach(entries::remove);
@@ -550,11 +632,11 @@
     }
 
     /** What the machine's tasks take: those placed there, and what else it reports. */
-    private Resources used(Session session) {
+    Resources used(Session session) {
         Resources used = Resources.NONE;
         MachineId machine = session.machine().id();
-        for (Placement placement : placements.values()) {
-            if (placement.isBound() && placement.machine().equals(machine)) {
+        for (Placement placement : placements.on(machine)) {
+            if (placement.isBound()) {
                 used = used.plus(placement.job().each());
             }
         }
@@ -574,9 +656,8 @@
     /** The images that tasks on the machine wait for, and the highest priority among those tasks. */
     private Map<String, Rank> fetching(Session session) {
         Map<String, Rank> images = new HashMap<>();
-        for (Placement placement : placements.values()) {
-            if (placement.isBound() && !placement.isRunning() && placement.machine().equals(session.machine().id())
-                    && session.isFetching(placement.job().image())) {
+        for (Placement placement : placements.on(session.machine().id())) {
+            if (placement.isBound() && !placement.isRunning() && session.isFetching(placement.job().image())) {
                 images.merge(placement.job().image(), placement.job().rank(), (one, other) -> one.isAbove(other) ? one : other);
             }
         }
@@ -585,23 +666,22 @@
 
     /** Stops work of lower priority for work that has waited a moment and fits nowhere. */
     private void makeRoom(SteadyTime now) {
-        Set<Entry> seen = new HashSet<>();
-        List<Preemption.Running> running = new ArrayList<>();
-        for (Placement placement : placements.values()) {
-            if (placement.state() == Placement.State.STOPPING) {
-                return; // room is being made already
-            }
-            if ((placement.state() == Placement.State.ACTIVE || placement.state() == Placement.State.STARTING)
-                    && placement.job().shape() != Shape.GANG) {
-                running.add(new Preemption.Running(placement.task(), placement.machine(), placement.job().rank(),
-                        placement.job().each(), placement.job().saves(), placement.since()));
-            }
+        if (entries.isEmpty() || placements.count(Placement.State.STOPPING) > 0) {
+            return; // nothing waits, or room is being made already
         }
+        List<Preemption.Running> running = null;
+        Set<Entry> seen = new HashSet<>();
         for (Entry entry : List.copyOf(entries.values())) {
             Placement first = placements.get(entry.tasks().get(0));
-            if (!seen.add(entry) || entry.tasks().size() > 1 || !now.since(first.since()).isMoreThan(patience(first.job()))) {
+            if (!seen.add(entry) || entry.tasks().size() > 1) {
+                continue;
+            }
+            SteadyTime patient = first.since().plus(patience(first.job()));
+            if (now.isBefore(patient)) {
+                wakeBy(patient);
                 continue;
             }
+            running = running == null ? stoppable() : running;
             List<Preemption.Running> victims = Preemption.choose(scheduler, entry, running);
             if (victims != null && !victims.isEmpty()) {
                 for (Preemption.Running victim : victims) {
@@ -614,6 +694,19 @@
         }
     }
 
+    private List<Preemption.Running> stoppable() {
+        List<Preemption.Running> running = new ArrayList<>();
+        for (Placement.State state : List.of(Placement.State.STARTING, Placement.State.ACTIVE)) {
+            for (Placement placement : placements.in(state)) {
+                if (placement.job().shape() != Shape.GANG) {
+                    running.add(new Preemption.Running(placement.task(), placement.machine(), placement.job().rank(),
+                            placement.job().each(), placement.job().saves(), placement.since()));
+                }
+            }
+        }
+        return running;
+    }
+
     /** How long work waits before other work is stopped for it: what is queued ahead of its time may well start soon. */
     private static Span patience(Job job) {
         return job.rank() == Rank.PRODUCTION ? ROOM_PATIENCE
@@ -626,9 +719,8 @@
             if (!session.hasNotice()) {
                 continue;
             }
-            for (Placement placement : placements.values()) {
-                if (!placement.isBound() || placement.state() == Placement.State.STOPPING
-                        || !placement.machine().equals(session.machine().id())) {
+            for (Placement placement : placements.on(session.machine().id())) {
+                if (!placement.isBound() || placement.state() == Placement.State.STOPPING) {
                     continue;
                 }
                 double left = placement.job().estimate().seconds()
@@ -646,9 +738,14 @@
      */
     private void clearLeaving(SteadyTime now) {
         Map<MachineId, Resources> room = new LinkedHashMap<>();
-        for (Placement placement : placements.values()) {
-            if (!placement.isBound() || placement.state() == Placement.State.STOPPING
-                    || !lease.leaving().contains(placement.machine()) && !sessions.get(placement.machine()).isSick()) {
+        List<Placement> toMove = new ArrayList<>();
+        for (Session session : sessions.values()) {
+            if (session.isSick() || lease.leaving().contains(session.machine().id())) {
+                toMove.addAll(placements.on(session.machine().id()));
+            }
+        }
+        for (Placement placement : toMove) {
+            if (!placement.isBound() || placement.state() == Placement.State.STOPPING) {
                 continue;
             }
             if (room.isEmpty()) {
@@ -695,9 +792,8 @@
                 orders.add(Order.stop(piece.task(), piece.attempt(), placement.grace()));
             }
         }
-        for (Placement placement : placements.values()) {
-            if (placement.state() == Placement.State.STARTING && placement.machine().equals(machine)
-                    && !present.contains(placement.attempt())) {
+        for (Placement placement : placements.on(machine)) {
+            if (placement.state() == Placement.State.STARTING && !present.contains(placement.attempt())) {
                 orders.add(Order.start(placement.task(), placement.attempt()));
             }
         }
@@ -715,20 +811,26 @@
 
     /** Sends starts and stops at once rather than with the answer to the next report. */
     private void sendDirects() {
-        SteadyTime now = context.now();
-        for (Session session : sessions.values()) {
-            if (session.state() != Session.State.FENCED || !session.canSendDirect(now) || superseded) {
-                continue;
-            }
-            boolean urgent = false;
-            for (Placement placement : placements.values()) {
-                boolean toTell = placement.state() == Placement.State.STARTING || placement.state() == Placement.State.STOPPING;
-                urgent |= toTell && !placement.isTold() && placement.machine().equals(session.machine().id());
+        if (superseded) {
+            return;
+        }
+        Set<MachineId> untold = new LinkedHashSet<>();
+        for (Placement.State state : List.of(Placement.State.STARTING, Placement.State.STOPPING)) {
+            for (Placement placement : placements.in(state)) {
+                if (!placement.isTold()) {
+                    untold.add(placement.machine());
+                }
             }
-            List<Order> orders = urgent ? orders(session) : List.of();
-            if (!orders.isEmpty()) {
-                tell(orders, 0);
-                sendDirect(session, orders);
+        }
+        SteadyTime now = context.now();
+        for (MachineId machine : untold) {
+            Session session = sessions.get(machine);
+            if (session != null && session.state() == Session.State.FENCED && session.canSendDirect(now)) {
+                List<Order> orders = orders(session);
+                if (!orders.isEmpty()) {
+                    tell(orders, 0);
+                    sendDirect(session, orders);
+                }
             }
         }
     }
@@ -758,7 +860,6 @@
         session.directAnswered(starts);
         if (sessions.get(session.machine().id()) == session) {
             take(session, report, false);
-            enqueueWaiting();
             act();
         }
     }
@@ -804,55 +905,64 @@
     }
 
     private List<TaskId> inState(Placement.State state) {
-        List<TaskId> tasks = new ArrayList<>();
-        for (Placement placement : placements.values()) {
-            if (placement.state() == state) {
-                tasks.add(placement.task());
-            }
-        }
-        return tasks;
+        return placements.in(state).stream().map(Placement::task).toList();
     }
 
     /** How many tasks of a job run here. */
-    public Map<JobId, Integer> running() {
+    public int running(JobId job) {
+        int running = 0;
+        for (Placement placement : placements.ofJob(job)) {
+            running += placement.isRunning() ? 1 : 0;
+        }
+        return running;
+    }
+
+    /** How many tasks of each job run here. */
+    Map<JobId, Integer> running() {
         Map<JobId, Integer> running = new HashMap<>();
-        for (Placement placement : placements.values()) {
-            if (placement.isRunning()) {
-                running.merge(placement.task().job(), 1, Integer::sum);
+        for (JobId job : placements.jobs()) {
+            int count = running(job);
+            if (count > 0) {
+                running.put(job, count);
             }
         }
         return running;
     }
 
-    /** What is known of a machine, for the leader and for operators. */
-    public record MachineView(MachineId machine, Resources free, Span silent, boolean fenced, boolean notice,
-            boolean sick, boolean movable, int tasks, Set<String> images, Set<String> imagesInUse,
-            int queued) {
+    public BlockReporter reporter() {
+        return reporter;
     }
 
-    public List<MachineView> machines() {
-        List<MachineView> views = new ArrayList<>();
+    /** What is known of a machine, for the leader and for operators; null if it is not in the block. */
+    PeerReport.MachineState machine(MachineId id) {
+        Session session = sessions.get(id);
+        if (session == null) {
+            return null;
+        }
         SteadyTime now = context.now();
-        for (Session session : sessions.values()) {
-            MachineId id = session.machine().id();
-            int tasks = 0;
-            boolean movable = true;
-            Set<String> inUse = new HashSet<>();
-            for (Placement placement : placements.values()) {
-                if (placement.isBound() && placement.machine().equals(id)
-                        || placement.state() == Placement.State.COMPLETED && placement.machine().equals(id)) {
-                    tasks++;
-                    inUse.add(placement.job().image());
-                    movable &= placement.job().shape() == Shape.SERVICE && placement.state() == Placement.State.ACTIVE
-                            && placement.isRunning() && now.since(placement.runningSince()).isMoreThan(MOVABLE_AFTER);
-                }
-            }
-            MachineQueue queue = scheduler.machine(id);
-            views.add(new MachineView(id, session.capacity().minus(used(session)), now.since(session.heard()),
-                    session.state() == Session.State.FENCED, session.hasNotice(), session.isSick(), movable, tasks,
-                    Set.copyOf(session.images()), inUse, queue.waiting().size()));
+        int tasks = 0;
+        boolean movable = true;
+        Set<String> inUse = new TreeSet<>();
+        for (Placement placement : placements.on(id)) {
+            tasks++;
+            inUse.add(placement.job().image());
+            movable &= placement.job().shape() == Shape.SERVICE && placement.state() == Placement.State.ACTIVE
+                    && placement.isRunning() && now.since(placement.runningSince()).isMoreThan(MOVABLE_AFTER);
         }
-        return views;
+        Span silent = now.since(session.heard());
+        return new PeerReport.MachineState(id, session.capacity().minus(used(session)),
+                silent.isMoreThan(quiet(context.workers())) ? Span.ofSeconds(Math.floor(silent.seconds())) : Span.ZERO,
+                isOpen(session), session.state() == Session.State.FENCED, session.hasNotice(), session.isSick(), movable,
+                tasks, scheduler.machine(id).waiting().size(), session.images(), List.copyOf(inUse));
+    }
+
+    /** A machine that has reported this lately is not called silent. */
+    private static Span quiet(Settings.Workers workers) {
+        return workers.report().times(1.25).plus(Span.ofSeconds(2));
+    }
+
+    public List<PeerReport.MachineState> machines() {
+        return sessions.keySet().stream().map(this::machine).toList();
     }
 
     public int waitingCount() {
--- a/src/main/java/org/quincecross/block/Holdings.java
+++ b/src/main/java/org/quincecross/block/Holdings.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -46,23 +45,29 @@
         return holders.get(block);
     }
 
-    /** Follows the leases and allocations. */
+    /** Follows the leases, allocations and jobs that have changed. */
     public void ledgerChanged(Ledger.Changes changes) {
         Ledger ledger = context.ledger();
-        for (BlockId id : List.copyOf(holders.keySet())) {
+        for (BlockId id : changes.reloaded() ? List.copyOf(holders.keySet()) : changes.blocks()) {
             BlockLease lease = ledger.blocks().get(id);
-            if (lease == null || !lease.holder().equals(self)) {
+            if (holders.containsKey(id) && (lease == null || !lease.holder().equals(self))) {
                 LOG.info("block {} is no longer held here", id);
                 holders.remove(id);
             }
         }
-        for (BlockLease lease : ledger.blocks().values()) {
-            if (lease.holder().equals(self)) {
+        for (BlockId id : changes.reloaded() ? List.copyOf(ledger.blocks().keySet()) : changes.blocks()) {
+            BlockLease lease = ledger.blocks().get(id);
+            if (lease != null && lease.holder().equals(self)) {
                 follow(lease);
             }
         }
         for (BlockHolder holder : holders.values()) {
-            if (changes.reloaded() || changes.blocks().contains(holder.id()) || !changes.jobs().isEmpty()) {
+            if (changes.reloaded()) {
+                holder.jobsChanged(ledger.jobs());
+            } else if (!changes.jobs().isEmpty()) {
+                holder.jobsChanged(changes.jobs());
+            }
+            if (changes.reloaded() || changes.blocks().contains(holder.id())) {
                 holder.sync();
             }
         }
@@ -70,40 +75,41 @@
 
     private void follow(BlockLease lease) {
         BlockHolder holder = holders.get(lease.id());
-        if (holder != null && holder.lease().tenure().equals(lease.tenure())) {
-            if (!holder.lease().token().equals(lease.token())) {
+        if (holder != null && holder.lease().token().equals(lease.token())) {
+            if (!holder.lease().version().equals(lease.version())) {
                 holder.renewed(lease);
             }
         } else if (lease.life().equals(life.get())) {
-            // A tenure of this life that has just begun: whatever this process knew of the block is out of date.
+            // Held from here on, by this life: whatever this process knew of the block is out of date.
             LOG.info("block {} taken over, token {}, {} machines", lease.id(), lease.token(), lease.machines().size());
             holders.put(lease.id(), new BlockHolder(context, lease));
+            context.newsForLeader();
         }
     }
 
-    /** How many tasks of each job run in the blocks held here. */
-    public Map<JobId, Integer> running() {
-        Map<JobId, Integer> all = new HashMap<>();
+    /** How many tasks of a job run in the blocks held here. */
+    public int running(JobId job) {
+        int running = 0;
         for (BlockHolder holder : holders.values()) {
-            holder.running().forEach((job, count) -> all.merge(job, count, Integer::sum));
+            running += holder.running(job);
         }
-        return all;
+        return running;
+    }
+
+    /** Notes what is new for report {@code number}; {@code all}: looks also at what changes with time alone. */
+    public void refresh(long number, boolean all) {
+        holders.values().forEach(holder -> holder.reporter().refresh(number, all));
     }
 
-    /** What the other controllers, the leader above all, should know of the blocks held here. */
-    public List<PeerReport.Block> reports() {
-        List<PeerReport.Block> reports = new ArrayList<>();
+    /** What has changed after report {@code base} in the blocks held here, as of the last {@link #refresh}. */
+    public List<PeerReport.Block> since(long base) {
+        List<PeerReport.Block> changed = new ArrayList<>();
         for (BlockHolder holder : holders.values()) {
-            List<PeerReport.MachineState> machines = new ArrayList<>();
-            for (BlockHolder.MachineView view : holder.machines()) {
-                machines.add(new PeerReport.MachineState(view.machine(), view.free(), view.silent(), view.fenced(),
-                        view.notice(), view.sick(), view.movable(), view.tasks(), view.queued(), List.copyOf(view.images()),
-                        List.copyOf(view.imagesInUse())));
+            PeerReport.Block block = holder.reporter().since(base);
+            if (block != null) {
+                changed.add(block);
             }
-            reports.add(new PeerReport.Block(holder.id(), holder.lease().token(),
-                    context.ledger().allocation(holder.id()).version(), holder.completed(), holder.released(),
-                    holder.running(), machines));
         }
-        return reports;
+        return changed;
     }
 }
--- a/src/main/java/org/quincecross/block/Placement.java
+++ b/src/main/java/org/quincecross/block/Placement.java
@@ -27,6 +27,13 @@
         RELEASED
     }
 
+    /** Told of every change, so that what finds placements stays in step. */
+    interface Observer {
+        /** A placement was in {@code before}, on {@code from} (null: nowhere), and now is as it says itself. */
+        void moved(Placement placement, State before, MachineId from);
+    }
+
+    private final Observer observer;
     private final TaskId task;
     private final Job job;
     private State state;
@@ -41,17 +48,22 @@
     private SteadyTime runningSince;
     private int failures;
 
-    Placement(TaskId task, Job job, State state, SteadyTime now) {
+    Placement(Observer observer, TaskId task, Job job, State state, SteadyTime now) {
+        this.observer = observer;
         this.task = task;
         this.job = job;
-        enter(state, now);
+        enter(state, null, now);
     }
 
     /** The one place where a placement changes its state. */
-    private void enter(State next, SteadyTime now) {
+    private void enter(State next, MachineId where, SteadyTime now) {
+        State before = state;
+        MachineId from = machine;
         state = next;
+        machine = where;
         since = now;
         told = false;
+        observer.moved(this, before, from);
     }
 
     TaskId task() {
@@ -104,22 +116,23 @@
     }
 
     void start(MachineId where, Attempt which, SteadyTime now) {
-        machine = where;
         attempt = which;
         running = false;
-        enter(State.STARTING, now);
+        enter(State.STARTING, where, now);
     }
 
     /** A machine reports the task: one that this holder started, or one that the former holder did. */
     void reported(MachineId where, Attempt which, boolean runs, SteadyTime now) {
-        machine = where;
         attempt = which;
-        if (runs && !running) {
+        boolean changed = runs != running;
+        if (runs && changed) {
             runningSince = now;
         }
         running = runs;
         if (state != State.ACTIVE && state != State.STOPPING) {
-            enter(State.ACTIVE, now);
+            enter(State.ACTIVE, where, now);
+        } else if (changed) {
+            observer.moved(this, state, machine);
         }
     }
 
@@ -134,24 +147,22 @@
             return;
         }
         grace = saveTime;
-        enter(State.STOPPING, now);
+        enter(State.STOPPING, machine, now);
     }
 
     void completed(MachineId where, Attempt which, SteadyTime now) {
-        machine = where;
         attempt = which;
-        enter(State.COMPLETED, now);
+        enter(State.COMPLETED, where, now);
     }
 
     /** The task is surely on no machine. */
     void gone(SteadyTime now) {
-        machine = null;
         running = false;
-        enter(giveBack ? State.RELEASED : State.WAITING, now);
+        enter(giveBack ? State.RELEASED : State.WAITING, null, now);
     }
 
     void release(SteadyTime now) {
-        enter(State.RELEASED, now);
+        enter(State.RELEASED, null, now);
     }
 
     void failed() {
--- a/src/main/java/org/quincecross/block/Session.java
+++ b/src/main/java/org/quincecross/block/Session.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.quincecross.model.Attempt;
@@ -41,6 +42,8 @@
     private SteadyTime directAfter;
     private boolean directRunning;
     private boolean sick;
+    private boolean open;
+    private List<String> imageList;
 
     /** {@code leaseFrom}: nobody can have renewed the machine's lease later than this, as far as is known now. */
     Session(Machine machine, Resources capacity, double cacheGb, SteadyTime now, SteadyTime leaseFrom) {
@@ -125,8 +128,21 @@
         return images.containsKey(image);
     }
 
-    Set<String> images() {
-        return images.keySet();
+    /** The images, in an order that stays while they do. */
+    List<String> images() {
+        if (imageList == null) {
+            imageList = images.keySet().stream().sorted().toList();
+        }
+        return imageList;
+    }
+
+    /** Whether it was last found to take work. */
+    boolean wasOpen() {
+        return open;
+    }
+
+    void found(boolean nowOpen) {
+        open = nowOpen;
     }
 
     /** Whether an image is not known to be here yet, though a task that needs it is. */
@@ -141,12 +157,17 @@
     /** A former holder knew of an image here; how large it is will show when it is used again. */
     void inheritImage(String image) {
         images.put(image, 0.0);
+        imageList = null;
         fetched.add(image);
     }
 
     /** A task has or gets its image here, so the machine has it: until more recently used ones crowd it out. */
     void usedImage(String image, double gb) {
-        images.put(image, gb);
+        Double before = images.put(image, gb);
+        if (before != null && before == gb) {
+            return;
+        }
+        imageList = null;
         double sum = images.values().stream().mapToDouble(Double::doubleValue).sum();
         for (Iterator<Map.Entry<String, Double>> i = images.entrySet().iterator(); i.hasNext() && sum > cacheGb; ) {
             Map.Entry<String, Double> oldest = i.next();
--- /dev/null
+++ b/src/main/java/org/quincecross/leader/Books.java
@@ -0,0 +1,211 @@
+package org.quincecross.leader;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.quincecross.model.BlockId;
+import org.quincecross.model.Job;
+import org.quincecross.model.JobId;
+import org.quincecross.model.JobPhase;
+import org.quincecross.model.Resources;
+import org.quincecross.model.TaskSet;
+import org.quincecross.state.BlockLease;
+import org.quincecross.state.JobRecord;
+import org.quincecross.state.Ledger;
+
+/**
+ * What the ledger comes to for admission: which tasks each block holds, what each job has out and in the pool, what each
+ * team uses. Kept current as the ledger changes, at a cost in proportion to what changed: the tasks of the jobs and
+ * blocks concerned.
+ */
+final class Books {
+    /**
+     * A job that is not done.
+     *
+     * @param done tasks whose completion is durable
+     * @param out allocated tasks that are not done: each may be on a machine
+     * @param pool tasks that wait to be allocated; none once the job is cancelled
+     * @param perZone how many tasks are out in each zone
+     */
+    record Account(Job job, TaskSet done, TaskSet out, TaskSet pool, Map<String, Integer> perZone) {
+    }
+
+    private final Ledger ledger;
+    private final Map<BlockId, Map<JobId, TaskSet>> allocated = new HashMap<>();
+    private final Map<JobId, Map<BlockId, TaskSet>> where = new HashMap<>();
+    private final Map<JobId, Account> accounts = new HashMap<>();
+    private final Set<JobId> waiting = new LinkedHashSet<>();
+    private final Set<JobId> out = new HashSet<>();
+    private final Set<BlockId> toRead = new LinkedHashSet<>();
+    private final Set<JobId> toCount = new LinkedHashSet<>();
+    private final Set<BlockId> changedBlocks = new HashSet<>();
+    private long counted;
+
+    Books(Ledger ledger) {
+        this.ledger = ledger;
+    }
+
+    /** Notes what has changed; it is looked at when the books are next asked. */
+    void changed(Ledger.Changes changes) {
+        toRead.addAll(changes.blocks());
+        toCount.addAll(changes.jobs());
+        if (changes.reloaded()) {
+            toRead.addAll(allocated.keySet());
+            toRead.addAll(ledger.allocatedBlocks());
+            toRead.addAll(ledger.blocks().keySet());
+            toCount.addAll(ledger.jobs());
+        }
+    }
+
+    /** The one place where the books change. */
+    private void refresh() {
+        for (BlockId block : toRead) {
+            read(block);
+        }
+        toRead.clear();
+        for (JobId job : toCount) {
+            count(job);
+        }
+        toCount.clear();
+    }
+
+    private void read(BlockId block) {
+        Map<JobId, TaskSet> next = ledger.allocation(block).tasks();
+        Map<JobId, TaskSet> before = next.isEmpty() ? allocated.remove(block) : allocated.put(block, next);
+        changedBlocks.add(block);
+        if (!ledger.blocks().containsKey(block)) {
+            toCount.addAll(next.keySet()); // a block that is gone is in no zone
+        }
+        if (before != null) {
+            for (JobId job : before.keySet()) {
+                if (!next.containsKey(job)) {
+                    Map<BlockId, TaskSet> there = where.get(job);
+                    there.remove(block);
+                    if (there.isEmpty()) {
+                        where.remove(job);
+                    }
+                    toCount.add(job);
+                }
+            }
+        }
+        next.forEach((job, tasks) -> {
+            TaskSet known = where.computeIfAbsent(job, id -> new TreeMap<>()).put(block, tasks);
+            if (!tasks.equals(known)) {
+                toCount.add(job);
+            }
+        });
+    }
+
+    private void count(JobId id) {
+        Map<BlockId, TaskSet> there = where.getOrDefault(id, Map.of());
+        changedBlocks.addAll(there.keySet());
+        JobRecord record = ledger.job(id);
+        waiting.remove(id);
+        out.remove(id);
+        if (record == null || record.job() == null) {
+            accounts.remove(id);
+            return;
+        }
+        Job job = record.job();
+        TaskSet done = ledger.doneTasks(id);
+        TaskSet allOut = new TaskSet();
+        Map<String, Integer> perZone = new TreeMap<>();
+        there.forEach((block, tasks) -> {
+            int open = tasks.size() - tasks.common(done);
+            BlockLease lease = ledger.blocks().get(block);
+            if (open > 0 && lease != null) {
+                perZone.merge(lease.zone(), open, Integer::sum);
+            }
+            allOut.addAll(tasks);
+            counted++;
+        });
+        allOut.removeAll(done);
+        TaskSet pool = new TaskSet();
+        if (record.phase() == JobPhase.OPEN) {
+            pool = TaskSet.below(job.tasks());
+            pool.removeAll(done);
+            pool.removeAll(allOut);
+        }
+        accounts.put(id, new Account(job, done, allOut, pool, perZone));
+        if (!pool.isEmpty()) {
+            waiting.add(id);
+        }
+        if (!allOut.isEmpty()) {
+            out.add(id);
+        }
+    }
+
+    /** How many items of allocations have been counted so far: the work that was done. */
+    long counted() {
+        return counted;
+    }
+
+    /** What is known of a job that is not done, or null. */
+    Account account(JobId job) {
+        refresh();
+        return accounts.get(job);
+    }
+
+    /** The jobs with tasks in the pool. */
+    Collection<JobId> waiting() {
+        refresh();
+        return waiting;
+    }
+
+    /** The tasks of a block that are not done. */
+    Map<JobId, TaskSet> held(BlockId block) {
+        refresh();
+        Map<JobId, TaskSet> held = new LinkedHashMap<>();
+        allocated.getOrDefault(block, Map.of()).forEach((job, tasks) -> {
+            Account account = accounts.get(job);
+            if (account != null) {
+                TaskSet open = tasks.copy();
+                open.removeAll(account.done());
+                if (!open.isEmpty()) {
+                    held.put(job, open);
+                }
+            }
+        });
+        return held;
+    }
+
+    /** How many tasks a block's record names that are done. */
+    int stale(BlockId block) {
+        refresh();
+        int stale = 0;
+        for (Map.Entry<JobId, TaskSet> entry : allocated.getOrDefault(block, Map.of()).entrySet()) {
+            Account account = accounts.get(entry.getKey());
+            stale += account == null ? entry.getValue().size() : entry.getValue().common(account.done());
+        }
+        return stale;
+    }
+
+    /**
+     * What the tasks of each team take that are not proven gone, completed or not: a completion that is lost with its
+     * holder and its machine before it is durable is run again under its allocation.
+     */
+    Map<String, Resources> teamUse() {
+        refresh();
+        Map<String, Resources> use = new HashMap<>();
+        for (JobId id : out) {
+            Account account = accounts.get(id);
+            use.merge(account.job().team(), account.job().each().times(account.out().size()), Resources::plus);
+        }
+        return use;
+    }
+
+    /** The blocks of which something has changed since this was last asked. */
+    List<BlockId> takeChangedBlocks() {
+        refresh();
+        List<BlockId> taken = new ArrayList<>(changedBlocks);
+        changedBlocks.clear();
+        return taken;
+    }
+}
--- a/src/main/java/org/quincecross/leader/Fleet.java
+++ b/src/main/java/org/quincecross/leader/Fleet.java
@@ -43,7 +43,7 @@
     private static final int MOST_MOVED_AT_ONCE = 3;
     private static final double MOST_USED_TO_EMPTY = 0.55;
     private static final int MOST_REQUESTS_AT_ONCE = 3;
-    private static final int MOST_AT_ONCE = 6;
+    private static final int MOST_AT_ONCE = 25;
     private static final int MOST_RETURNED_AT_ONCE = 50;
 
     /** What the holders say of their machines, and which machines report to the wrong controller. */
@@ -71,8 +71,11 @@
     private final Map<Kind, SteadyTime> refusedUntil = new HashMap<>();
     private final Set<MachineId> wanted = new HashSet<>();
     private final Set<MachineId> gone = new HashSet<>();
+    /** Of the wanted and the gone, those in blocks. */
+    private final Set<MachineId> leaving = new HashSet<>();
     private List<Admission.Unmet> unmet = List.of();
     private Supplier<View> view;
+    private Room room;
     private SteadyTime catalogAfter;
     private SteadyTime listAfter;
     private SteadyTime rentAfter;
@@ -112,6 +115,8 @@
             booting.clear();
             idleSince.clear();
             wanted.clear();
+            leaving.clear();
+            leaving.addAll(gone);
             rentAfter = timers.now().plus(Span.ofSeconds(3)); // first hear what there is
             consolidateAfter = timers.now().plus(CONSOLIDATE_FIRST);
         }
@@ -132,9 +137,21 @@
         return gone.contains(machine);
     }
 
-    /** Whether a machine is to go back and should be given no more work. */
-    boolean wantsBack(MachineId machine) {
-        return wanted.contains(machine);
+    /** The machines that are to go back and should be given no more work, and those proven gone, as far as they are in blocks. */
+    Set<MachineId> leaving() {
+        leaving.removeIf(machine -> ledger.blockOf(machine) == null);
+        return leaving;
+    }
+
+    /** The one place where a machine is marked as one to go back. */
+    private void want(MachineId machine) {
+        wanted.add(machine);
+        leaving.add(machine);
+    }
+
+    /** How many machines there are or will be soon, as far as is known. */
+    int expected() {
+        return Math.max(listed.size(), ledger.machineCount()) + booting.size();
     }
 
     void unmet(List<Admission.Unmet> now) {
@@ -149,6 +166,7 @@
         refreshCatalog(now);
         refreshList(now);
         View current = view.get();
+        room = new Room(current);
         consolidate(current, now);
         booting.keySet().removeIf(machine -> ledger.blockOf(machine) != null || gone.contains(machine));
         Set<MachineId> back = returnable(current, now);
@@ -217,11 +235,11 @@
         for (Map.Entry<MachineId, PeerReport.MachineState> entry : current.machines().entrySet()) {
             PeerReport.MachineState state = entry.getValue();
             if (state.sick()) {
-                wanted.add(entry.getKey());
+                want(entry.getKey());
             }
-            boolean leaving = ledger.blockOf(entry.getKey()) != null
+            boolean goes = ledger.blockOf(entry.getKey()) != null
                     && ledger.blockOf(entry.getKey()).leaving().contains(entry.getKey());
-            if (leaving && state.fenced() && state.tasks() == 0) {
+            if (goes && state.fenced() && !state.open() && state.tasks() == 0) {
                 back.add(entry.getKey());
             }
             if (state.silent().isMoreThan(patience(entry.getKey())) && !current.strays().contains(entry.getKey())) {
@@ -260,6 +278,7 @@
     /** Marks machines that have had nothing to do for a while, as long as nothing waits for room. */
     private void markIdle(View current, SteadyTime now) {
         idleSince.keySet().retainAll(current.machines().keySet());
+        boolean calm = isCalm(current);
         for (Map.Entry<MachineId, PeerReport.MachineState> entry : current.machines().entrySet()) {
             boolean idle = entry.getValue().fenced() && entry.getValue().tasks() == 0 && entry.getValue().queued() == 0;
             if (!idle) {
@@ -267,8 +286,9 @@
                 continue;
             }
             SteadyTime since = idleSince.computeIfAbsent(entry.getKey(), id -> now);
-            if (now.since(since).isMoreThan(keepIdle(entry.getKey())) && isCalm(current) && hasRoomElsewhere(entry.getKey(), Resources.NONE, List.of(), current)) {
-                wanted.add(entry.getKey());
+            if (now.since(since).isMoreThan(keepIdle(entry.getKey())) && calm && hasRoomElsewhere(entry.getKey(), Resources.NONE, List.of(), current)) {
+                want(entry.getKey());
+                room.remove(entry.getKey(), current);
             }
         }
     }
@@ -281,27 +301,75 @@
         return type == null ? idle : idle.plus(type.boot().times(0.5));
     }
 
-    /** Whether as many whole machines stay without this one as are kept for large work. */
-    private boolean leavesReserve(MachineId machine, BlockLease block, View current) {
-        int kept = 0;
-        int whole = 0;
-        for (BlockLease other : ledger.blocks().values()) {
-            if (!other.type().equals(block.type()) || other.spot() != block.spot()) {
-                continue;
-            }
-            for (Reserve reserve : foresight.of(other.id(), timers.now())) {
-                if (reserve.purpose() != Reserve.Purpose.LARGE_WORK) {
-                    continue;
-                }
-                kept += reserve.machines();
-                for (MachineId id : other.machines().keySet()) {
-                    PeerReport.MachineState state = current.machines().get(id);
-                    whole += state != null && !id.equals(machine) && !other.leaving().contains(id) && !wanted.contains(id)
-                            && reserve.each().fitsIn(state.free()) ? 1 : 0;
+    /** A kind of machine wherever it is. */
+    private record Sort(String type, boolean spot) {
+    }
+
+    /** What room the machines have, counted once for all questions of a tick. */
+    private final class Room {
+        private final Map<Sort, Integer> kept = new HashMap<>();
+        private final Map<Sort, Integer> whole = new HashMap<>();
+        private final Map<String, Integer> slots = new HashMap<>();
+        private final Map<String, Resources> free = new HashMap<>();
+        private final Map<Sort, List<Reserve>> large = new HashMap<>();
+
+        Room(View view) {
+            for (BlockLease block : ledger.blocks().values()) {
+                Sort sort = new Sort(block.type(), block.spot());
+                for (Reserve reserve : foresight.of(block.id(), timers.now())) {
+                    if (reserve.purpose() == Reserve.Purpose.LARGE_WORK) {
+                        kept.merge(sort, reserve.machines(), Integer::sum);
+                        large.computeIfAbsent(sort, s -> List.of(reserve));
+                    }
                 }
             }
+            for (MachineId machine : view.machines().keySet()) {
+                add(machine, view, 1);
+            }
+        }
+
+        private boolean counts(MachineId machine, BlockLease block) {
+            return block != null && !wanted.contains(machine) && !block.leaving().contains(machine);
+        }
+
+        private void add(MachineId machine, View view, int sign) {
+            BlockLease block = ledger.blockOf(machine);
+            if (!counts(machine, block)) {
+                return;
+            }
+            PeerReport.MachineState state = view.machines().get(machine);
+            Sort sort = new Sort(block.type(), block.spot());
+            for (Reserve reserve : large.getOrDefault(sort, List.of())) {
+                whole.merge(sort, reserve.each().fitsIn(state.free()) ? sign : 0, Integer::sum);
+            }
+            if (!block.spot()) {
+                slots.merge(block.type(), sign * slotsOf(state), Integer::sum);
+                free.merge(block.type(), state.free().times(sign), Resources::plus);
+            }
+        }
+
+        private int slotsOf(PeerReport.MachineState state) {
+            Resources each = foresight.urgentTask();
+            return each.cpus() > 0 ? state.free().count(each) : operators.get().spareTasks();
+        }
+
+        /** A machine that has just been marked counts no more. */
+        void remove(MachineId machine, View view) {
+            wanted.remove(machine);
+            add(machine, view, -1);
+            wanted.add(machine);
+        }
+
+        /** Whether as many whole machines stay without this one as are kept for large work. */
+        boolean leavesReserve(MachineId machine, BlockLease block, View view) {
+            Sort sort = new Sort(block.type(), block.spot());
+            int own = 0;
+            for (Reserve reserve : large.getOrDefault(sort, List.of())) {
+                PeerReport.MachineState state = view.machines().get(machine);
+                own = state != null && counts(machine, block) && reserve.each().fitsIn(state.free()) ? 1 : 0;
+            }
+            return whole.getOrDefault(sort, 0) - own >= kept.getOrDefault(sort, 0);
         }
-        return whole >= kept;
     }
 
     /** Whether nothing waits for room and nothing is going on that may soon ask for some. */
@@ -313,20 +381,28 @@
     /** Whether the other machines of the type that have the images have room for the tasks, and for two more urgent ones. */
     private boolean hasRoomElsewhere(MachineId machine, Resources tasks, List<String> images, View current) {
         BlockLease block = ledger.blockOf(machine);
-        if (block == null || !leavesReserve(machine, block, current)) {
+        if (block == null || !room.leavesReserve(machine, block, current)) {
             return false;
         }
         Resources each = foresight.urgentTask();
-        Resources free = Resources.NONE;
         int spare = operators.get().spareTasks();
-        int slots = 0;
-        for (Map.Entry<MachineId, PeerReport.MachineState> other : current.machines().entrySet()) {
-            BlockLease home = ledger.blockOf(other.getKey());
-            if (!other.getKey().equals(machine) && other.getValue().images().containsAll(images)
-                    && home != null && home.type().equals(block.type()) && !home.spot()
-                    && !wanted.contains(other.getKey()) && !home.leaving().contains(other.getKey())) {
-                slots += each.cpus() > 0 ? other.getValue().free().count(each) : spare;
-                free = free.plus(other.getValue().free());
+        int slots = room.slots.getOrDefault(block.type(), 0);
+        Resources free = room.free.getOrDefault(block.type(), Resources.NONE);
+        PeerReport.MachineState own = current.machines().get(machine);
+        if (!block.spot() && room.counts(machine, block)) {
+            slots -= room.slotsOf(own);
+            free = free.minus(own.free());
+        }
+        if (!images.isEmpty()) {
+            slots = 0;
+            free = Resources.NONE;
+            for (Map.Entry<MachineId, PeerReport.MachineState> other : current.machines().entrySet()) {
+                BlockLease home = ledger.blockOf(other.getKey());
+                if (!other.getKey().equals(machine) && home != null && home.type().equals(block.type()) && !home.spot()
+                        && room.counts(other.getKey(), home) && other.getValue().images().containsAll(images)) {
+                    slots += room.slotsOf(other.getValue());
+                    free = free.plus(other.getValue().free());
+                }
             }
         }
         int needed = each.cpus() > 0 ? (int) Math.ceil(tasks.shareOf(each)) : 0;
@@ -359,7 +435,7 @@
         }
         if (best != null) {
             LOG.info("machine {} is emptied: its replicas have room elsewhere", best);
-            wanted.add(best);
+            want(best);
             consolidateAfter = now.plus(CONSOLIDATE_EVERY);
         }
     }
@@ -375,6 +451,7 @@
             returning = false;
             if (done) {
                 gone.addAll(some);
+                leaving.addAll(some);
             } else {
                 returnAfter = timers.now().plus(cloud.backOff());
             }
@@ -423,13 +500,14 @@
             }
         }
         Map<Kind, Integer> wishes = new LinkedHashMap<>();
+        Map<Kind, Integer> owned = machinesOfKinds();
         for (Admission.Unmet need : unmet) {
             int left = need.tasks();
             for (Bin bin : bins) {
                 left -= bin.fill(need.job(), left);
             }
             while (left > 0 && wishes.size() < 8) {
-                Kind kind = choose(need, wishes, now);
+                Kind kind = choose(need, wishes, owned, now);
                 if (kind == null) {
                     break;
                 }
@@ -470,7 +548,7 @@
     }
 
     /** The cheapest kind for a job, a task at a time; among zones that have been refused last, another one. */
-    private Kind choose(Admission.Unmet need, Map<Kind, Integer> wishes, SteadyTime now) {
+    private Kind choose(Admission.Unmet need, Map<Kind, Integer> wishes, Map<Kind, Integer> owned, SteadyTime now) {
         Job job = need.job();
         Kind best = null;
         double bestCost = Double.MAX_VALUE;
@@ -489,7 +567,7 @@
                         continue;
                     }
                     double cost = (spot ? type.spotPrice() : type.price()) / Math.min(slots, need.tasks())
-                            * (1 + 0.02 * machinesOf(kind) + 0.02 * wishes.getOrDefault(kind, 0));
+                            * (1 + 0.02 * owned.getOrDefault(kind, 0) + 0.02 * wishes.getOrDefault(kind, 0));
                     if (cost < bestCost) {
                         bestCost = cost;
                         best = kind;
@@ -500,20 +578,12 @@
         return best;
     }
 
-    private int machinesOf(Kind kind) {
-        int count = 0;
-        for (var block : ledger.blocks().values()) {
-            if (block.type().equals(kind.type()) && block.zone().equals(kind.zone()) && block.spot() == kind.spot()) {
-                count += block.machines().size();
-            }
+    private Map<Kind, Integer> machinesOfKinds() {
+        Map<Kind, Integer> counts = new HashMap<>();
+        for (BlockLease block : ledger.blocks().values()) {
+            counts.merge(new Kind(block.type(), block.zone(), block.spot()), block.machines().size(), Integer::sum);
         }
-        for (Booting machine : booting.values()) {
-            count += machine.kind().equals(kind) ? 1 : 0;
-        }
-        return count;
-    }
-
-    public int bootingCount() {
-        return booting.size();
+        booting.values().forEach(machine -> counts.merge(machine.kind(), 1, Integer::sum));
+        return counts;
     }
 }
--- a/src/main/java/org/quincecross/leader/Leader.java
+++ b/src/main/java/org/quincecross/leader/Leader.java
@@ -1,6 +1,8 @@
 package org.quincecross.leader;
 
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -8,6 +10,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.function.LongSupplier;
 import org.quincecross.model.BlockId;
 import org.quincecross.model.Job;
@@ -17,6 +20,7 @@
 import org.quincecross.model.MachineId;
 import org.quincecross.model.MachineType;
 import org.quincecross.model.MemberId;
+import org.quincecross.model.Rank;
 import org.quincecross.model.Resources;
 import org.quincecross.model.Revision;
 import org.quincecross.model.Shape;
@@ -27,6 +31,7 @@
 import org.quincecross.model.Team;
 import org.quincecross.net.Timers;
 import org.quincecross.peer.PeerReport;
+import org.quincecross.peer.PeerViews;
 import org.quincecross.sched.Admission;
 import org.quincecross.sched.Reserve;
 import org.quincecross.state.Allocation;
@@ -56,25 +61,32 @@
 public final class Leader {
     private static final Logger LOG = LoggerFactory.getLogger(Leader.class);
     private static final Span TICK = Span.ofMillis(100);
-    private static final Span GATHER_RESULTS = Span.ofSeconds(2.5);
+    /** Plans are at least this far apart: what comes together is planned together. */
+    private static final Span PLAN_SPACING = Span.ofMillis(40);
+    private static final Span GATHER_RESULTS = Span.ofSeconds(1.5);
+    private static final Span MOST_GATHERING = Span.ofSeconds(2);
     /** "Neighbours start at six similar machines per block." */
-    private static final int BLOCK_SIZE = 6;
+    private static final int LEAST_BLOCK_SIZE = 6;
+    /** So many blocks for each change a second: with more, each block's allocation could be written too seldom. */
+    private static final double BLOCKS_PER_CHANGE = 0.6;
+    /** Of the record of a block's tasks, what one task in a job of its own takes; see {@link Admission.Block}. */
+    private static final int BYTES_PER_TASK = 14;
     private static final Span REBALANCE_EVERY = Span.ofSeconds(8);
     /** Moving a block costs a moment and what its holder has learnt of it: a small gain is not worth that. */
     private static final int REBALANCE_GAIN = 4;
     private static final Span UNCONFIRMED = Span.ofSeconds(2);
+    private static final Span UNHEARD = Span.ofSeconds(4);
     private static final Span REPORT_FRESH = Span.ofSeconds(2.5);
     /** A job that nobody waits for by a certain time comes after those of about an hour's patience. */
     private static final double NO_DEADLINE_S = 3600;
     private static final int LEAST_CHANGES = 2;
-    private static final int MOST_TASKS_IN_BLOCK = 150;
+    private static final int VALUE_MARGIN = 64;
+    /** A block whose record names so many tasks that are done is worth writing anew. */
+    private static final int MOST_STALE = 60;
 
     /** The states of a controller with regard to leading. */
     public enum State { FOLLOWING, STANDING, LEADING, MENDING }
 
-    private record Heard(PeerReport report, SteadyTime at) {
-    }
-
     private final Timers timers;
     private final StateClient client;
     private final Ledger ledger;
@@ -84,18 +96,24 @@
     private final Fleet fleet;
     private final Foresight foresight;
     private final LongSupplier clockMs;
-    private final Map<MemberId, Heard> heard = new HashMap<>();
+    private final PeerViews views;
+    private final Books books;
+    private final Map<BlockId, Admission.Block> admissionBlocks = new TreeMap<>();
+    private final Set<BlockId> toLookAt = new HashSet<>();
+    private final Map<MemberId, Boolean> wasFresh = new HashMap<>();
+    private final Map<BlockId, SteadyTime> writtenAt = new HashMap<>();
     private final Map<MachineId, Machine> newcomers = new LinkedHashMap<>();
     private final Map<JobId, SteadyTime> resultsSince = new HashMap<>();
     private State state = State.FOLLOWING;
     private boolean writing;
     private Revision awaited = Revision.NONE;
     private SteadyTime rebalanced;
+    private SteadyTime planned;
     private boolean stepPlanned;
     private boolean resultsFirst;
 
     public Leader(Timers timers, StateClient client, Ledger ledger, Follower follower, Membership membership,
-            Settings settings, Fleet fleet, Foresight foresight, LongSupplier clockMs) {
+            Settings settings, Fleet fleet, Foresight foresight, PeerViews views, LongSupplier clockMs) {
         this.timers = timers;
         this.client = client;
         this.ledger = ledger;
@@ -104,11 +122,18 @@
         this.settings = settings;
         this.fleet = fleet;
         this.foresight = foresight;
+        this.views = views;
+        this.books = new Books(ledger);
         this.clockMs = clockMs;
         this.rebalanced = timers.now();
+        this.planned = timers.now();
     }
 
     public void start() {
+        views.listen((member, blocks) -> {
+            toLookAt.addAll(blocks);
+            soon();
+        });
         timers.every(TICK, this::step);
     }
 
@@ -128,16 +153,11 @@
         state = next;
     }
 
-    /** A report of a holder, this controller's own among them. */
-    public void hear(PeerReport report) {
-        Heard before = heard.get(report.member());
-        if (before != null && before.report().life().equals(report.life()) && before.report().number() >= report.number()) {
-            return; // late or repeated
-        }
-        heard.put(report.member(), new Heard(report, timers.now()));
-        if (isLeading()) {
-            soon();
-        }
+    /** Follows the records. */
+    public void ledgerChanged(Ledger.Changes changes) {
+        books.changed(changes);
+        toLookAt.addAll(changes.blocks());
+        soon();
     }
 
     /** A machine that is in no block reports. */
@@ -151,7 +171,8 @@
     public void soon() {
         if (!stepPlanned) {
             stepPlanned = true;
-            timers.after(Span.ofMillis(15), () -> {
+            Span since = timers.now().since(planned);
+            timers.after(new Span(Math.max(Span.ofMillis(10).nanos(), PLAN_SPACING.nanos() - since.nanos())), () -> {
                 stepPlanned = false;
                 step();
             });
@@ -247,6 +268,7 @@
     // ---- leading ----
 
     private void lead() {
+        planned = timers.now();
         client.lead(true);
         fleet.lead(this::fleetView);
         // As large as the budget is now: a transaction that waits for its turn is out of date when it goes out.
@@ -254,18 +276,19 @@
         if (changes < LEAST_CHANGES) {
             return;
         }
-        TxnPlan plan = new TxnPlan(ledger, changes, settings.stateLimits().valueBytes() - 64);
+        TxnPlan plan = new TxnPlan(ledger, changes, settings.stateLimits().valueBytes() - VALUE_MARGIN);
         plan.guard(Keys.LEADER);
         planTypes(plan);
         Set<BlockId> leased = planLeases(plan);
         // Neither results nor starts may crowd the other out of a small budget.
         resultsFirst = !resultsFirst;
+        Map<JobId, TaskSet> completed = completions();
         if (resultsFirst) {
-            planResults(plan);
+            planResults(plan, completed);
         }
-        planAllocations(plan, leased);
+        planAllocations(plan, leased, completed);
         if (!resultsFirst) {
-            planResults(plan);
+            planResults(plan, completed);
         }
         if (!plan.isEmpty()) {
             write(plan.guards(), plan.changes(), false);
@@ -313,8 +336,15 @@
         Map<BlockId, BlockLease> next = new TreeMap<>();
         Set<BlockId> deleted = new HashSet<>();
         Map<MemberId, Integer> load = machinesHeld();
+        Map<BlockId, Set<MachineId>> going = new HashMap<>();
+        for (MachineId machine : fleet.leaving()) {
+            BlockLease block = ledger.blockOf(machine);
+            if (block != null) {
+                going.computeIfAbsent(block.id(), id -> new HashSet<>()).add(machine);
+            }
+        }
         for (BlockLease block : ledger.blocks().values()) {
-            BlockLease changed = withoutGone(block);
+            BlockLease changed = without(block, going.getOrDefault(block.id(), Set.of()));
             if (changed.machines().isEmpty()) {
                 // No machine is left, so no task of it is anywhere: all of them go back to the pool.
                 if (plan.room() >= 2) {
@@ -351,12 +381,12 @@
         return touched;
     }
 
-    private BlockLease withoutGone(BlockLease block) {
+    private BlockLease without(BlockLease block, Set<MachineId> going) {
         BlockLease changed = block;
-        for (MachineId machine : block.machines().keySet()) {
+        for (MachineId machine : going) {
             if (fleet.isGone(machine)) {
                 changed = changed.without(machine);
-            } else if (fleet.wantsBack(machine) && !block.leaving().contains(machine)) {
+            } else if (!block.leaving().contains(machine)) {
                 changed = changed.leaving(machine);
             }
         }
@@ -365,30 +395,30 @@
 
     /** A holder whose machines report to another controller is cut off from them: that one gets the block. */
     private void rescueUnheard(Map<BlockId, BlockLease> next, Set<BlockId> deleted) {
-        for (BlockLease block : ledger.blocks().values()) {
-            if (next.containsKey(block.id()) || deleted.contains(block.id())) {
-                continue;
-            }
-            PeerReport.Block view = blockView(block);
-            Map<MemberId, Integer> hearing = new HashMap<>();
-            for (MachineId machine : block.machines().keySet()) {
-                // A lease that its holder has not reported under yet says nothing of who hears the machines.
-                boolean silent = view != null && view.machines().stream()
-                        .anyMatch(state -> state.id().equals(machine) && state.silent().isMoreThan(Span.ofSeconds(4)));
-                for (MemberRecord member : members()) {
-                    PeerReport report = freshReport(member.member());
-                    if (silent && report != null && !member.member().equals(block.holder()) && report.strays().contains(machine)) {
-                        hearing.merge(member.member(), 1, Integer::sum);
-                    }
+        Map<BlockId, Map<MemberId, Integer>> hearing = new HashMap<>();
+        for (MemberRecord member : members()) {
+            PeerViews.View view = freshView(member.member());
+            for (MachineId machine : view == null ? Set.<MachineId>of() : view.strays()) {
+                BlockLease block = ledger.blockOf(machine);
+                if (block != null && !block.holder().equals(member.member()) && isSilent(block, machine)) {
+                    hearing.computeIfAbsent(block.id(), id -> new TreeMap<>()).merge(member.member(), 1, Integer::sum);
                 }
             }
-            hearing.forEach((member, machines) -> {
-                if (machines * 2 > block.machines().size() && !next.containsKey(block.id())) {
-                    LOG.info("block {} goes from {}, which does not hear it, to {}", block.id(), block.holder(), member);
-                    next.put(block.id(), block.heldBy(ledger.members().get(member)));
-                }
-            });
         }
+        hearing.forEach((id, members) -> members.forEach((member, machines) -> {
+            BlockLease block = ledger.blocks().get(id);
+            if (machines * 2 > block.machines().size() && !next.containsKey(id) && !deleted.contains(id)) {
+                LOG.info("block {} goes from {}, which does not hear it, to {}", id, block.holder(), member);
+                next.put(id, block.heldBy(ledger.members().get(member)));
+            }
+        }));
+    }
+
+    /** Whether a block's holder does not hear a machine; a holder that has not reported yet says nothing of that. */
+    private boolean isSilent(BlockLease block, MachineId machine) {
+        PeerViews.BlockView view = blockView(block);
+        PeerReport.MachineState state = view == null ? null : view.machines().get(machine);
+        return state != null && state.silent().isMoreThan(UNHEARD);
     }
 
     /** Moves one block to a controller that has much less to do, now and then. */
@@ -401,8 +431,8 @@
             for (MemberRecord member : members()) {
                 int size = block.machines().size();
                 int gain = load.getOrDefault(block.holder(), 0) - load.getOrDefault(member.member(), 0) - size;
-                PeerReport.Block view = blockView(block);
-                boolean calm = view != null && view.machines().stream().allMatch(PeerReport.MachineState::fenced);
+                PeerViews.BlockView view = blockView(block);
+                boolean calm = view != null && view.machines().values().stream().allMatch(PeerReport.MachineState::fenced);
                 if (gain > REBALANCE_GAIN && calm) {
                     LOG.info("block {} goes from {} to {} to share the load", block.id(), block.holder(), member.member());
                     next.put(block.id(), block.heldBy(member));
@@ -412,96 +442,163 @@
         }
     }
 
+    /** How many machines a block may have: the more machines and the fewer changes a second, the more. */
+    private int mostMachines(MachineType type) {
+        int all = fleet.expected();
+        double bySize = Math.ceil(all / (BLOCKS_PER_CHANGE * settings.stateLimits().writesPerS()));
+        Resources small = foresight.urgentTask();
+        int tasks = Math.max(1, small.cpus() > 0 ? type.capacity().count(small) : (int) type.capacity().cpus());
+        int byRecord = Math.max(LEAST_BLOCK_SIZE, settings.stateLimits().valueBytes() / BYTES_PER_TASK / tasks);
+        return (int) Math.max(LEAST_BLOCK_SIZE, Math.min(bySize, byRecord));
+    }
+
+    private record Kind(String type, String zone, boolean spot) {
+        static Kind of(BlockLease block) {
+            return new Kind(block.type(), block.zone(), block.spot());
+        }
+    }
+
     private void takeIn(Map<BlockId, BlockLease> next, Set<BlockId> deleted, Map<MemberId, Integer> load) {
-        for (Machine machine : List.copyOf(newcomers.values())) {
-            if (ledger.blockOf(machine.id()) != null || fleet.isGone(machine.id())) {
-                newcomers.remove(machine.id());
-                continue;
+        newcomers.keySet().removeIf(machine -> ledger.blockOf(machine) != null || fleet.isGone(machine));
+        if (newcomers.isEmpty() || members().isEmpty()) {
+            return;
+        }
+        Map<Kind, List<BlockId>> withRoom = new HashMap<>();
+        ledger.blocks().values().forEach(block -> {
+            if (!deleted.contains(block.id())) {
+                withRoom.computeIfAbsent(Kind.of(block), kind -> new ArrayList<>()).add(block.id());
             }
-            if (!ledger.types().containsKey(machine.type()) || members().isEmpty()) {
+        });
+        for (Machine machine : newcomers.values()) {
+            MachineType type = ledger.types().get(machine.type());
+            if (type == null) {
                 continue;
             }
+            int most = mostMachines(type);
             BlockLease home = null;
-            Map<BlockId, BlockLease> blocks = new TreeMap<>(ledger.blocks());
-            blocks.putAll(next);
-            for (BlockLease block : blocks.values()) {
-                if (block.type().equals(machine.type()) && block.zone().equals(machine.zone())
-                        && block.spot() == machine.spot() && block.machines().size() < BLOCK_SIZE
-                        && !deleted.contains(block.id())) {
+            List<BlockId> homes = withRoom.computeIfAbsent(new Kind(machine.type(), machine.zone(), machine.spot()),
+                    kind -> new ArrayList<>());
+            while (home == null && !homes.isEmpty()) {
+                BlockLease block = next.getOrDefault(homes.get(0), ledger.blocks().get(homes.get(0)));
+                if (block.machines().size() < most) {
                     home = block;
-                    break;
+                } else {
+                    homes.remove(0);
                 }
             }
             if (home != null) {
                 next.put(home.id(), home.with(machine));
+                load.merge(home.holder(), 1, Integer::sum);
             } else {
                 MemberRecord holder = chooseHolder(machine.zone(), load);
                 BlockLease made = BlockLease.first(new BlockId("b-" + machine.id()), holder, machine);
                 load.merge(holder.member(), 1, Integer::sum);
                 next.put(made.id(), made);
+                homes.add(made.id());
             }
         }
     }
 
-    private PeerReport freshReport(MemberId member) {
-        Heard report = heard.get(member);
-        MemberRecord record = ledger.members().get(member);
-        return report == null || record == null || timers.now().since(report.at()).isMoreThan(REPORT_FRESH) ? null : report.report();
+    /** What a controller has told lately, or null. */
+    private PeerViews.View freshView(MemberId member) {
+        PeerViews.View view = views.of(member);
+        return view == null || !ledger.members().containsKey(member)
+                || timers.now().since(view.at()).isMoreThan(REPORT_FRESH) ? null : view;
     }
 
     /** What the holder of a block last said of it, if that is recent and of the present lease. */
-    private PeerReport.Block blockView(BlockLease block) {
-        PeerReport report = freshReport(block.holder());
-        if (report != null) {
-            for (PeerReport.Block view : report.blocks()) {
-                if (view.id().equals(block.id()) && view.token().equals(block.token())) {
-                    return view;
-                }
-            }
-        }
-        return null;
+    private PeerViews.BlockView blockView(BlockLease block) {
+        PeerViews.View view = freshView(block.holder());
+        PeerViews.BlockView known = view == null ? null : view.blocks().get(block.id());
+        return known != null && known.token().equals(block.token()) ? known : null;
     }
 
     // ---- results ----
 
     /** Makes completions durable; a job whose last task is done becomes done in the same stroke. */
-    private void planResults(TxnPlan plan) {
-        Map<JobId, TaskSet> fresh = completions();
+    private void planResults(TxnPlan plan, Map<JobId, TaskSet> fresh) {
         SteadyTime now = timers.now();
         resultsSince.keySet().retainAll(fresh.keySet());
-        List<JobId> unfinished = new ArrayList<>();
-        fresh.forEach((id, tasks) -> {
-            TaskSet all = ledger.doneTasks(id);
-            all.addAll(tasks);
-            if (all.size() < ledger.job(id).job().tasks()) {
+        boolean due = false;
+        Map<JobId, TaskSet> unfinished = new LinkedHashMap<>();
+        for (Map.Entry<JobId, TaskSet> entry : fresh.entrySet()) {
+            JobId id = entry.getKey();
+            Books.Account account = books.account(id);
+            TaskSet all = account.done().copy();
+            all.addAll(entry.getValue());
+            if (all.size() < account.job().tasks()) {
                 // Its machine keeps the result until it is durable, so a part of a job may wait for more of it.
-                SteadyTime since = resultsSince.computeIfAbsent(id, j -> now);
-                if (now.since(since).isMoreThan(GATHER_RESULTS)) {
-                    unfinished.add(id);
-                }
+                due |= now.since(resultsSince.computeIfAbsent(id, j -> now)).isMoreThan(GATHER_RESULTS);
+                unfinished.put(id, all);
             } else {
                 plan.put(Keys.job(id), JobRecord.done());
             }
+        }
+        if (due) {
+            planParts(plan, unfinished, fresh);
+        }
+    }
+
+    /** Writes the done tasks of unfinished jobs: most share pages, so that one change serves many jobs. */
+    private void planParts(TxnPlan plan, Map<JobId, TaskSet> unfinished, Map<JobId, TaskSet> fresh) {
+        Map<Integer, Map<JobId, TaskSet>> pages = new TreeMap<>();
+        ledger.pages().forEach((page, sets) -> {
+            Map<JobId, TaskSet> kept = new LinkedHashMap<>();
+            sets.forEach((job, set) -> {
+                if (books.account(job) != null) {
+                    kept.put(job, set);
+                }
+            });
+            pages.put(page, kept);
         });
-        for (JobId id : unfinished) {
-            TaskSet all = ledger.doneTasks(id);
-            all.addAll(fresh.get(id));
-            Set<Integer> chunks = new HashSet<>();
-            TaskSet tasks = fresh.get(id);
-            for (int i = tasks.next(0); i >= 0; i = tasks.next(i + 1)) {
-                chunks.add(i / DoneTasks.CHUNK);
+        Set<Integer> changed = new TreeSet<>();
+        unfinished.forEach((id, all) -> {
+            if (!DoneTasks.fitsPage(all) || ledger.hasChunks(id)) {
+                planChunks(plan, id, all, fresh.get(id));
+                return;
+            }
+            int page = 0;
+            while (pages.containsKey(page) && !pages.get(page).containsKey(id) && !hasRoom(plan, pages.get(page), id, all)) {
+                page++;
+            }
+            for (Map.Entry<Integer, Map<JobId, TaskSet>> other : pages.entrySet()) {
+                if (other.getValue().containsKey(id)) {
+                    page = hasRoom(plan, other.getValue(), id, all) ? other.getKey() : page;
+                }
             }
-            for (int chunk : chunks) {
-                plan.put(Keys.done(id, chunk), DoneTasks.write(all, chunk));
+            pages.computeIfAbsent(page, p -> new LinkedHashMap<>()).put(id, all);
+            changed.add(page);
+        });
+        for (int page : changed) {
+            Map<String, Object> value = DoneTasks.writePage(pages.get(page));
+            if (plan.fits(value)) {
+                plan.put(Keys.page(page), value);
             }
         }
     }
 
+    private static boolean hasRoom(TxnPlan plan, Map<JobId, TaskSet> page, JobId id, TaskSet all) {
+        Map<JobId, TaskSet> next = new LinkedHashMap<>(page);
+        next.put(id, all);
+        return plan.fits(DoneTasks.writePage(next));
+    }
+
+    /** The done tasks of a job that is too large for a page. */
+    private static void planChunks(TxnPlan plan, JobId id, TaskSet all, TaskSet fresh) {
+        Set<Integer> chunks = new TreeSet<>();
+        for (int i = all.next(0); i >= 0; i = all.next((i / DoneTasks.CHUNK + 1) * DoneTasks.CHUNK)) {
+            chunks.add(i / DoneTasks.CHUNK);
+        }
+        for (int chunk : chunks) {
+            plan.put(Keys.done(id, chunk), DoneTasks.write(all, chunk));
+        }
+    }
+
     /** The completions that holders report and that are not durable yet. */
     private Map<JobId, TaskSet> completions() {
         Map<JobId, TaskSet> fresh = new LinkedHashMap<>();
-        for (Heard report : heard.values()) {
-            for (PeerReport.Block block : report.report().blocks()) {
+        for (PeerViews.View view : views.all()) {
+            for (PeerViews.BlockView block : view.blocks().values()) {
                 for (TaskId task : block.completed()) {
                     JobRecord job = ledger.job(task.job());
                     if (job != null && job.phase() == JobPhase.OPEN && task.index() < job.job().tasks()
@@ -521,76 +618,80 @@
 
     // ---- allocations ----
 
-    private void planAllocations(TxnPlan plan, Set<BlockId> leased) {
-        Map<JobId, TaskSet> completed = completions();
-        Map<BlockId, Map<JobId, TaskSet>> held = new TreeMap<>();
-        Map<BlockId, Set<TaskId>> released = new HashMap<>();
-        Set<BlockId> dirty = new HashSet<>();
-        for (BlockId id : ledger.allocatedBlocks()) {
-            Set<TaskId> back = released(id);
-            released.put(id, back);
-            held.put(id, stillHeld(id, dirty));
-            if (!back.isEmpty()) {
-                dirty.add(id);
-            }
-        }
+    private void planAllocations(TxnPlan plan, Set<BlockId> leased, Map<JobId, TaskSet> completed) {
+        refreshAdmissionBlocks(completed);
         List<Admission.Block> blocks = new ArrayList<>();
         Map<BlockId, List<Reserve>> reserves = new HashMap<>();
-        Map<String, Resources> teamUse = new HashMap<>();
-        Map<JobId, Map<String, Integer>> perZone = new HashMap<>();
-        Map<JobId, TaskSet> out = new HashMap<>();
-        held.forEach((id, jobs) -> {
-            BlockLease lease = ledger.blocks().get(id);
-            jobs.forEach((jobId, tasks) -> {
-                Job job = ledger.job(jobId).job();
-                // All of it counts against the team's limit, completed or not: a completion that is lost with its holder
-                // and its machine before it is durable is run again under this allocation.
-                teamUse.merge(job.team(), job.each().times(tasks.size()), Resources::plus);
-                out.computeIfAbsent(jobId, j -> new TaskSet()).addAll(tasks);
-                if (lease != null) {
-                    perZone.computeIfAbsent(jobId, j -> new TreeMap<>()).merge(lease.zone(), tasks.size(), Integer::sum);
-                }
-            });
-        });
-        for (BlockLease lease : ledger.blocks().values()) {
-            if (!leased.contains(lease.id())) {
-                Admission.Block block = admissionBlock(lease);
-                held.getOrDefault(lease.id(), Map.of()).forEach((id, tasks) ->
-                        block.count(ledger.job(id).job(), stillRunning(tasks, completed.get(id))));
+        admissionBlocks.forEach((id, block) -> {
+            if (!leased.contains(id)) {
                 blocks.add(block);
-                reserves.put(lease.id(), foresight.of(lease.id(), timers.now()));
+                reserves.put(id, foresight.of(id, timers.now()));
             }
-        }
-        List<Admission.Demand> demands = demands(out, perZone);
-        Admission admission = new Admission(blocks, settings.teams(), teamUse, reserves, MOST_TASKS_IN_BLOCK);
-        fleet.unmet(admission.run(demands));
+        });
+        Admission admission = new Admission(blocks, settings.teams(), books.teamUse(), reserves);
+        fleet.unmet(admission.run(demands()));
+        List<BlockId> toWrite = new ArrayList<>();
+        Span gathering = Span.ofSeconds(Math.min(MOST_GATHERING.seconds(),
+                ledger.blocks().size() / settings.stateLimits().writesPerS()));
+        SteadyTime now = timers.now();
         for (Admission.Block block : blocks) {
-            if (block.admitted().isEmpty() && !dirty.contains(block.id())) {
-                continue;
+            SteadyTime written = writtenAt.get(block.id());
+            boolean gathered = written == null || now.since(written).isMoreThan(gathering);
+            if (block.admittedRank() == Rank.PRODUCTION || gathered
+                    && (block.admittedRank() != null || !released(block.id()).isEmpty() || books.stale(block.id()) > MOST_STALE)) {
+                toWrite.add(block.id());
+            }
+            if (block.admittedRank() != null) {
+                toLookAt.add(block.id()); // what was admitted is in the ledger next time, or it was not written
             }
-            Map<JobId, TaskSet> next = new LinkedHashMap<>(held.getOrDefault(block.id(), Map.of()));
-            for (TaskId task : released.getOrDefault(block.id(), Set.of())) {
-                next.computeIfPresent(task.job(), (id, tasks) -> without(tasks, task.index()));
+        }
+        // Changes are few: what must start within seconds goes first, then whatever has waited longest to be written.
+        toWrite.sort(Comparator.comparing((BlockId id) -> admissionBlocks.get(id).admittedRank() != Rank.PRODUCTION)
+                .thenComparing(id -> writtenAt.getOrDefault(id, SteadyTime.ZERO)).thenComparing(id -> id));
+        for (BlockId id : toWrite) {
+            if (plan.room() < 1) {
+                break;
             }
-            block.admitted().forEach((job, tasks) -> {
+            Map<JobId, TaskSet> next = new LinkedHashMap<>(books.held(id));
+            for (TaskId task : released(id)) {
+                next.computeIfPresent(task.job(), (job, tasks) -> without(tasks, task.index()));
+            }
+            admissionBlocks.get(id).admitted().forEach((job, tasks) -> {
                 TaskSet all = next.containsKey(job) ? next.get(job).copy() : new TaskSet();
                 all.addAll(tasks);
                 next.put(job, all);
             });
             Map<String, Object> value = Allocation.write(next);
-            if (plan.fits(value)) {
-                plan.put(Keys.allocation(block.id()), value);
+            if (plan.fits(value) && plan.put(Keys.allocation(id), value)) {
+                writtenAt.put(id, now);
             }
         }
     }
 
-    /** How many of a block's tasks still take room: a completed one has exited, durable or not. */
-    private static int stillRunning(TaskSet tasks, TaskSet completed) {
-        int count = tasks.size();
-        for (int i = completed == null ? -1 : completed.next(0); i >= 0; i = completed.next(i + 1)) {
-            count -= tasks.has(i) ? 1 : 0;
+    /** Brings the blocks of which something has changed up to date for admission. */
+    private void refreshAdmissionBlocks(Map<JobId, TaskSet> completed) {
+        toLookAt.addAll(books.takeChangedBlocks());
+        for (MemberId member : ledger.members().keySet()) {
+            boolean fresh = freshView(member) != null;
+            if (wasFresh.put(member, fresh) != (Boolean) fresh) {
+                toLookAt.addAll(ledger.blocks().keySet());
+            }
         }
-        return count;
+        for (BlockId id : toLookAt) {
+            BlockLease lease = ledger.blocks().get(id);
+            if (lease == null) {
+                admissionBlocks.remove(id);
+                writtenAt.remove(id);
+                continue;
+            }
+            Admission.Block block = admissionBlock(lease);
+            books.held(id).forEach((job, tasks) -> {
+                TaskSet done = completed.get(job);
+                block.count(books.account(job).job(), tasks.size(), tasks.size() - (done == null ? 0 : tasks.common(done)));
+            });
+            admissionBlocks.put(id, block);
+        }
+        toLookAt.clear();
     }
 
     private static TaskSet without(TaskSet tasks, int index) {
@@ -601,82 +702,52 @@
 
     /**
      * What a holder gives back, of the allocation as it stands: a late report must not take away what the block has
-     * been given again since.
+     * been given again since. It counts until the allocation without it is durable: only the next plan may give it to
+     * another block, for this one's write may not find room in the transaction.
      */
-    private Set<TaskId> released(BlockId id) {
+    private List<TaskId> released(BlockId id) {
         BlockLease lease = ledger.blocks().get(id);
-        PeerReport.Block view = lease == null ? null : blockView(lease);
-        return view != null && view.allocation().equals(ledger.allocation(id).version())
-                ? new HashSet<>(view.released()) : Set.of();
-    }
-
-    /**
-     * The tasks of a block that are not done; a block with many others is worth writing anew. What is given back counts
-     * until the allocation without it is durable: only the next plan may give it to another block, for this one's write
-     * may not find room in the transaction.
-     */
-    private Map<JobId, TaskSet> stillHeld(BlockId id, Set<BlockId> dirty) {
-        Map<JobId, TaskSet> held = new LinkedHashMap<>();
-        int stale = 0;
-        for (Map.Entry<JobId, TaskSet> entry : ledger.allocation(id).tasks().entrySet()) {
-            JobRecord job = ledger.job(entry.getKey());
-            TaskSet tasks = entry.getValue();
-            for (int i = tasks.next(0); i >= 0; i = tasks.next(i + 1)) {
-                if (job == null || job.job() == null || ledger.isDone(job.id(), i)) {
-                    stale++;
-                } else {
-                    held.computeIfAbsent(job.id(), j -> new TaskSet()).add(i);
-                }
-            }
-        }
-        if (stale > 40) {
-            dirty.add(id);
-        }
-        return held;
+        PeerViews.BlockView view = lease == null ? null : blockView(lease);
+        return view != null && view.allocation().equals(ledger.allocation(id).version()) ? view.released() : List.of();
     }
 
     private Admission.Block admissionBlock(BlockLease lease) {
         MachineType type = ledger.types().get(lease.type());
-        PeerReport.Block view = blockView(lease);
+        PeerViews.BlockView view = blockView(lease);
         int open = 0;
         Set<String> images = new HashSet<>();
         if (view != null) {
-            for (PeerReport.MachineState machine : view.machines()) {
-                if (machine.fenced() && !machine.notice() && !machine.sick() && !lease.leaving().contains(machine.id())
-                        && !machine.silent().isMoreThan(settings.workers().report().times(2).plus(Span.ofSeconds(2)))) {
+            for (MachineId machine : lease.machines().keySet()) {
+                PeerReport.MachineState state = view.machines().get(machine);
+                if (state != null && state.open() && !lease.leaving().contains(machine)) {
                     open++;
-                    images.addAll(machine.images());
+                    images.addAll(state.images());
                 }
             }
         }
         Resources capacity = type == null ? Resources.NONE : type.capacity().times(open);
-        return new Admission.Block(lease.id(), lease.type(), lease.zone(), lease.spot(), capacity, open, images);
+        return new Admission.Block(lease.id(), lease.type(), lease.zone(), lease.spot(), capacity, open, images,
+                settings.stateLimits().valueBytes() - VALUE_MARGIN);
     }
 
-    private List<Admission.Demand> demands(Map<JobId, TaskSet> out, Map<JobId, Map<String, Integer>> perZone) {
+    private List<Admission.Demand> demands() {
         List<Admission.Demand> demands = new ArrayList<>();
+        Collection<JobId> waiting = books.waiting();
         Map<String, Resources> guaranteed = new HashMap<>();
         for (JobRecord record : ledger.openJobs()) {
-            Job job = record.job();
-            TaskSet done = ledger.doneTasks(job.id());
-            Team team = settings.teams().get(job.team());
-            if (team == null) {
+            Team team = settings.teams().get(record.job().team());
+            Books.Account account = books.account(record.id());
+            if (team == null || account == null) {
                 continue;
             }
+            Job job = account.job();
             Resources sum = guaranteed.getOrDefault(job.team(), Resources.NONE)
-                    .plus(job.each().times(job.tasks() - done.size()));
+                    .plus(job.each().times(job.tasks() - account.done().size()));
             boolean within = sum.fitsIn(team.guarantee());
             guaranteed.put(job.team(), sum);
-            TaskSet pool = new TaskSet();
-            TaskSet gone = out.getOrDefault(job.id(), done);
-            for (int i = 0; i < job.tasks(); i++) {
-                if (!done.has(i) && !gone.has(i)) {
-                    pool.add(i);
-                }
-            }
-            if (!pool.isEmpty()) {
-                demands.add(new Admission.Demand(job, record.version(), dueS(record), within, pool,
-                        perZone.getOrDefault(job.id(), Map.of())));
+            if (waiting.contains(job.id())) {
+                demands.add(new Admission.Demand(job, record.version(), dueS(record), within, account.pool(),
+                        account.perZone()));
             }
         }
         return demands;
@@ -701,15 +772,18 @@
         Map<MachineId, PeerReport.MachineState> states = new HashMap<>();
         Set<MachineId> strays = new HashSet<>();
         for (BlockLease block : ledger.blocks().values()) {
-            PeerReport.Block view = blockView(block);
-            if (view != null) {
-                view.machines().forEach(machine -> states.put(machine.id(), machine));
+            PeerViews.BlockView view = blockView(block);
+            for (MachineId machine : view == null ? Set.<MachineId>of() : block.machines().keySet()) {
+                PeerReport.MachineState state = view.machines().get(machine);
+                if (state != null) {
+                    states.put(machine, state);
+                }
             }
         }
         for (MemberId member : ledger.members().keySet()) {
-            PeerReport report = freshReport(member);
-            if (report != null) {
-                strays.addAll(report.strays());
+            PeerViews.View view = freshView(member);
+            if (view != null) {
+                strays.addAll(view.strays());
             }
         }
         return new Fleet.View(states, strays);
--- a/src/main/java/org/quincecross/model/JobId.java
+++ b/src/main/java/org/quincecross/model/JobId.java
@@ -20,6 +20,16 @@
         return new JobId(text);
     }
 
+    /** The id whose digits these are, or null when they are not. */
+    public static JobId ofDigits(String digits) {
+        return parse(PREFIX + digits);
+    }
+
+    /** What sets this id apart from others. */
+    public String digits() {
+        return text.substring(PREFIX.length());
+    }
+
     public TaskId task(int index) {
         return new TaskId(this, index);
     }
--- a/src/main/java/org/quincecross/model/SteadyTime.java
+++ b/src/main/java/org/quincecross/model/SteadyTime.java
@@ -2,6 +2,9 @@
 
 /** A point on this process's steady clock. Points of two processes cannot be compared. */
 public record SteadyTime(long nanos) implements Comparable<SteadyTime> {
+    /** Before anything that a running process has seen. */
+    public static final SteadyTime ZERO = new SteadyTime(Long.MIN_VALUE / 2);
+
     public SteadyTime plus(Span span) {
         return new SteadyTime(nanos + span.nanos());
     }
--- a/src/main/java/org/quincecross/model/TaskSet.java
+++ b/src/main/java/org/quincecross/model/TaskSet.java
@@ -72,9 +72,27 @@
         return bits.nextSetBit(from);
     }
 
-    /** The first number at or after {@code from} that is no member. */
-    public int nextMissing(int from) {
-        return bits.nextClearBit(from);
+    /** The most that the text of so many of a job's tasks can take. */
+    public static int mostBytes(int jobTasks, int tasks) {
+        return tasks * (1 + String.valueOf(jobTasks).length());
+    }
+
+    public void removeAll(TaskSet other) {
+        bits.andNot(other.bits);
+    }
+
+    /** How many members this set has in common with another. */
+    public int common(TaskSet other) {
+        BitSet both = (BitSet) bits.clone();
+        both.and(other.bits);
+        return both.cardinality();
+    }
+
+    /** The numbers from 0 to below {@code end}. */
+    public static TaskSet below(int end) {
+        TaskSet all = new TaskSet();
+        all.bits.set(0, end);
+        return all;
     }
 
     @Override
--- a/src/main/java/org/quincecross/net/FrameSender.java
+++ b/src/main/java/org/quincecross/net/FrameSender.java
@@ -23,17 +23,20 @@
         this.to = to;
     }
 
-    public void send(byte[] frame) {
+    /** Returns whether the frame went out, as far as can be known. */
+    public boolean send(byte[] frame) {
         if (connection == null && !waiting) {
             connect();
         }
         if (connection != null && connection.state() == Connection.State.OPEN) {
             if (connection.unsentBytes() > FrameServer.MOST_FRAME) {
                 dropConnection(); // the other side takes nothing any more
-                return;
+                return false;
             }
             connection.send(ByteBuffer.allocate(4 + frame.length).putInt(frame.length).put(frame).array());
+            return true;
         }
+        return false;
     }
 
     private void connect() {
--- a/src/main/java/org/quincecross/peer/PeerCodec.java
+++ b/src/main/java/org/quincecross/peer/PeerCodec.java
@@ -24,7 +24,7 @@
 
 /** Peer reports to and from MessagePack. */
 public final class PeerCodec {
-    private static final int FORMAT = 1;
+    private static final int FORMAT = 2;
     private static final int MOST_ITEMS = 200_000;
 
     private PeerCodec() {
@@ -36,6 +36,14 @@
             out.packString(report.member().text());
             out.packLong(report.life().number());
             out.packLong(report.number());
+            out.packLong(report.base());
+            out.packMapHeader(report.receipts().size());
+            for (Map.Entry<MemberId, PeerReport.Receipt> receipt : report.receipts().entrySet()) {
+                out.packString(receipt.getKey().text());
+                out.packLong(receipt.getValue().life().number());
+                out.packLong(receipt.getValue().number());
+                out.packBoolean(receipt.getValue().gap());
+            }
             out.packLong(report.unconfirmed().nanos());
             writeTexts(out, report.strays().stream().map(MachineId::text).toList());
             out.packArrayHeader(report.blocks().size());
@@ -52,6 +60,7 @@
         out.packString(block.id().text());
         out.packLong(block.token().number());
         out.packLong(block.allocation().number());
+        out.packBoolean(block.whole());
         writeTasks(out, block.completed());
         writeTasks(out, block.released());
         out.packMapHeader(block.running().size());
@@ -66,6 +75,7 @@
             out.packDouble(machine.free().gpus());
             out.packDouble(machine.free().memoryGb());
             out.packLong(machine.silent().nanos());
+            out.packBoolean(machine.open());
             out.packBoolean(machine.fenced());
             out.packBoolean(machine.notice());
             out.packBoolean(machine.sick());
@@ -107,6 +117,15 @@
             MemberId member = new MemberId(in.unpackString());
             Incarnation life = new Incarnation(in.unpackLong());
             long number = in.unpackLong();
+            long base = in.unpackLong();
+            if (base < 0 || number <= base) {
+                throw new BadMessage("a peer report that builds on a later one");
+            }
+            Map<MemberId, PeerReport.Receipt> receipts = new HashMap<>();
+            for (int i = count(in.unpackMapHeader()); i > 0; i--) {
+                receipts.put(new MemberId(in.unpackString()),
+                        new PeerReport.Receipt(new Incarnation(in.unpackLong()), in.unpackLong(), in.unpackBoolean()));
+            }
             Span unconfirmed = new Span(in.unpackLong());
             List<MachineId> strays = readTexts(in).stream().map(MachineId::new).toList();
             List<PeerReport.Block> blocks = new ArrayList<>();
@@ -116,7 +135,7 @@
             if (in.hasNext()) {
                 throw new BadMessage("bytes left over in a peer report");
             }
-            return new PeerReport(member, life, number, unconfirmed, blocks, strays);
+            return new PeerReport(member, life, number, base, receipts, unconfirmed, blocks, strays);
         } catch (IOException | MessagePackException e) {
             throw new BadMessage("unreadable peer report");
         }
@@ -126,6 +145,7 @@
         BlockId id = new BlockId(in.unpackString());
         Token token = new Token(in.unpackLong());
         Revision allocation = new Revision(in.unpackLong());
+        boolean whole = in.unpackBoolean();
         List<TaskId> completed = readTasks(in);
         List<TaskId> released = readTasks(in);
         Map<JobId, Integer> running = new HashMap<>();
@@ -142,16 +162,17 @@
             MachineId machine = new MachineId(in.unpackString());
             Resources free = new Resources(in.unpackDouble(), in.unpackDouble(), in.unpackDouble());
             Span silent = new Span(in.unpackLong());
+            boolean open = in.unpackBoolean();
             boolean fenced = in.unpackBoolean();
             boolean notice = in.unpackBoolean();
             boolean sick = in.unpackBoolean();
             boolean movable = in.unpackBoolean();
             int tasks = in.unpackInt();
             int queued = in.unpackInt();
-            machines.add(new PeerReport.MachineState(machine, free, silent, fenced, notice, sick, movable, tasks,
-                    queued, readTexts(in), readTexts(in)));
+            machines.add(new PeerReport.MachineState(machine, free, silent, open, fenced, notice, sick,
+                    movable, tasks, queued, readTexts(in), readTexts(in)));
         }
-        return new PeerReport.Block(id, token, allocation, completed, released, running, machines);
+        return new PeerReport.Block(id, token, allocation, whole, completed, released, running, machines);
     }
 
     private static List<TaskId> readTasks(MessageUnpacker in) throws IOException, BadMessage {
--- a/src/main/java/org/quincecross/peer/PeerReport.java
+++ b/src/main/java/org/quincecross/peer/PeerReport.java
@@ -14,33 +14,52 @@
 import org.quincecross.model.Token;
 
 /**
- * What a controller tells the others again and again, whole each time: nothing hangs on any one message arriving.
+ * What a controller tells another again and again: everything that has changed since report {@code base}, which the
+ * receiver must have. A receiver that has not says so ({@link Receipt#gap}) and is told from what it does have.
  *
  * @param number rises with every report of a life
+ * @param base the report that this one builds upon; 0: none, this one is whole
+ * @param receipts what the sender has received of others
  * @param unconfirmed how long ago the sender last heard from the state service
  * @param strays machines of others' blocks that report to the sender
  */
-public record PeerReport(
-        MemberId member, Incarnation life, long number, Span unconfirmed, List<Block> blocks, List<MachineId> strays) {
+public record PeerReport(MemberId member, Incarnation life, long number, long base, Map<MemberId, Receipt> receipts,
+        Span unconfirmed, List<Block> blocks, List<MachineId> strays) {
+
+    /**
+     * What a controller has received of another one.
+     *
+     * @param number everything up to this report of that life
+     * @param gap whether a report came that builds on one that did not
+     */
+    public record Receipt(Incarnation life, long number, boolean gap) {
+    }
 
     /**
      * A block that the sender holds.
      *
      * @param allocation the version of the allocation that {@code released} speaks of
+     * @param whole whether {@code machines} are all that the block has, rather than those that have changed
      * @param completed tasks whose completion is not yet durable
      * @param released tasks that are on no machine and will not be started
      */
-    public record Block(BlockId id, Token token, Revision allocation, List<TaskId> completed, List<TaskId> released,
-            Map<JobId, Integer> running, List<MachineState> machines) {
+    public record Block(BlockId id, Token token, Revision allocation, boolean whole, List<TaskId> completed,
+            List<TaskId> released, Map<JobId, Integer> running, List<MachineState> machines) {
+
+        public Block with(boolean nowWhole, List<MachineState> states) {
+            return new Block(id, token, allocation, nowWhole, completed, released, running, states);
+        }
     }
 
     /**
      * A machine of a block.
      *
+     * @param silent how long it has not reported; zero while it reports as it should
+     * @param open whether it takes work
      * @param images those that it has or is fetching; {@code imagesInUse}: those that its tasks need
      * @param movable whether all that runs there are services that have been up for a while
      */
-    public record MachineState(MachineId id, Resources free, Span silent, boolean fenced, boolean notice, boolean sick,
-            boolean movable, int tasks, int queued, List<String> images, List<String> imagesInUse) {
+    public record MachineState(MachineId id, Resources free, Span silent, boolean open, boolean fenced, boolean notice,
+            boolean sick, boolean movable, int tasks, int queued, List<String> images, List<String> imagesInUse) {
     }
 }
--- /dev/null
+++ b/src/main/java/org/quincecross/peer/PeerViews.java
@@ -0,0 +1,164 @@
+package org.quincecross.peer;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.quincecross.model.BlockId;
+import org.quincecross.model.Incarnation;
+import org.quincecross.model.JobId;
+import org.quincecross.model.MachineId;
+import org.quincecross.model.MemberId;
+import org.quincecross.model.Revision;
+import org.quincecross.model.Span;
+import org.quincecross.model.SteadyTime;
+import org.quincecross.model.TaskId;
+import org.quincecross.model.Token;
+
+/** What each controller has told of itself and its blocks, put together from its reports. */
+public final class PeerViews {
+    /** A block as its holder last described it. */
+    public record BlockView(BlockId id, Token token, Revision allocation, List<TaskId> completed, List<TaskId> released,
+            Map<JobId, Integer> running, Map<MachineId, PeerReport.MachineState> machines) {
+    }
+
+    /** Told which blocks a report says something new of. */
+    public interface Listener {
+        void changed(MemberId member, Collection<BlockId> blocks);
+    }
+
+    /** What is known of one controller. */
+    public static final class View {
+        private final Incarnation life;
+        private final Map<BlockId, BlockView> blocks = new TreeMap<>();
+        private long number;
+        private boolean gap;
+        private SteadyTime at;
+        private Span unconfirmed = Span.ZERO;
+        private Set<MachineId> strays = Set.of();
+
+        private View(Incarnation life, SteadyTime at) {
+            this.life = life;
+            this.at = at;
+        }
+
+        public Incarnation life() {
+            return life;
+        }
+
+        /** The last report that all before it have come of. */
+        public long number() {
+            return number;
+        }
+
+        /** When its last report came. */
+        public SteadyTime at() {
+            return at;
+        }
+
+        /** How long it had not heard from the state service. */
+        public Span unconfirmed() {
+            return unconfirmed;
+        }
+
+        public Set<MachineId> strays() {
+            return strays;
+        }
+
+        public Map<BlockId, BlockView> blocks() {
+            return blocks;
+        }
+    }
+
+    private final Map<MemberId, View> views = new TreeMap<>();
+    private final List<Listener> listeners = new ArrayList<>();
+
+    public void listen(Listener listener) {
+        listeners.add(listener);
+    }
+
+    public Collection<View> all() {
+        return views.values();
+    }
+
+    /** What is known of a controller, or null. */
+    public View of(MemberId member) {
+        return views.get(member);
+    }
+
+    /** Takes a report; false if it builds on one that did not come, and so says nothing. */
+    public boolean take(PeerReport report, SteadyTime now) {
+        View view = views.get(report.member());
+        if (view == null || !view.life.equals(report.life())) {
+            if (view != null && Long.compareUnsigned(report.life().number(), view.life.number()) < 0) {
+                return true; // a late one of a former life
+            }
+            List<BlockId> forgotten = view == null ? List.of() : List.copyOf(view.blocks.keySet());
+            view = new View(report.life(), now);
+            views.put(report.member(), view);
+            tell(report.member(), forgotten);
+        }
+        if (report.number() <= view.number) {
+            return true; // late or repeated
+        }
+        if (report.base() > view.number) {
+            view.gap = true;
+            return false;
+        }
+        view.gap = false;
+        view.number = report.number();
+        view.at = now;
+        view.unconfirmed = report.unconfirmed();
+        view.strays = new HashSet<>(report.strays());
+        Set<BlockId> changed = new HashSet<>();
+        if (report.base() == 0) {
+            changed.addAll(view.blocks.keySet());
+            view.blocks.clear();
+        }
+        for (PeerReport.Block block : report.blocks()) {
+            changed.add(block.id());
+            merge(view, block);
+        }
+        tell(report.member(), changed);
+        return true;
+    }
+
+    private static void merge(View view, PeerReport.Block block) {
+        BlockView before = view.blocks.get(block.id());
+        Map<MachineId, PeerReport.MachineState> machines = new LinkedHashMap<>();
+        if (before != null && !block.whole()) {
+            machines = before.machines();
+        }
+        for (PeerReport.MachineState machine : block.machines()) {
+            machines.put(machine.id(), machine);
+        }
+        view.blocks.put(block.id(), new BlockView(block.id(), block.token(), block.allocation(), block.completed(),
+                block.released(), block.running(), machines));
+    }
+
+    private void tell(MemberId member, Collection<BlockId> changed) {
+        if (!changed.isEmpty()) {
+            listeners.forEach(listener -> listener.changed(member, changed));
+        }
+    }
+
+    /** Forgets a block that a controller does not hold any more. */
+    public void forget(MemberId member, BlockId block) {
+        View view = views.get(member);
+        if (view != null && view.blocks.remove(block) != null) {
+            tell(member, List.of(block));
+        }
+    }
+
+    /** What has been received of each controller, for it to know. */
+    public Map<MemberId, PeerReport.Receipt> receipts() {
+        Map<MemberId, PeerReport.Receipt> receipts = new HashMap<>();
+        views.forEach((member, view) -> receipts.put(member, new PeerReport.Receipt(view.life, view.number, view.gap)));
+        return receipts;
+    }
+}
--- a/src/main/java/org/quincecross/sched/Admission.java
+++ b/src/main/java/org/quincecross/sched/Admission.java
@@ -2,11 +2,13 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.TreeMap;
 import org.quincecross.model.BlockId;
@@ -28,42 +30,66 @@
     /** A block may be given this much of its capacity in array tasks, so that a short queue is there to start from. */
     private static final double QUEUE_AHEAD = 1.15;
 
+    /** What a job's item in the record of a block's tasks takes beside its id and its tasks. */
+    private static final int ITEM_BYTES = 6;
+
     /** A job with less time to spare than this is pressed. */
     private static final double PRESSED_S = 12;
 
-    /** A block as admission sees it. */
+    /** A block as admission sees it. What is counted into it stays; what was admitted spoils it for another round. */
     public static final class Block {
         private final BlockId id;
         private final String type;
         private final String zone;
         private final boolean spot;
         private final Resources capacity;
+        private final Resources machine;
         private final int machines;
         private final Set<String> images;
-        private final Resources[] used = new Resources[Rank.values().length];
+        private final int mostBytes;
+        private final Resources[] usedFrom = new Resources[Rank.values().length];
         private final Map<JobId, TaskSet> admitted = new LinkedHashMap<>();
-        private int taskCount;
+        private Rank admittedRank;
+        private int bytes;
 
-        /** {@code capacity}: of the machines that take work. */
-        public Block(BlockId id, String type, String zone, boolean spot, Resources capacity, int machines, Set<String> images) {
+        /**
+         * @param capacity of the machines that take work
+         * @param mostBytes what the record of its tasks may take
+         */
+        public Block(BlockId id, String type, String zone, boolean spot, Resources capacity, int machines, Set<String> images,
+                int mostBytes) {
             this.id = id;
             this.type = type;
             this.zone = zone;
             this.spot = spot;
             this.capacity = capacity;
+            this.machine = machines == 0 ? Resources.NONE : capacity.times(1.0 / machines);
             this.machines = machines;
             this.images = images;
-            Arrays.fill(used, Resources.NONE);
+            this.mostBytes = mostBytes;
+            Arrays.fill(usedFrom, Resources.NONE);
         }
 
         public BlockId id() {
             return id;
         }
 
-        /** Counts a task that the block has already. */
-        public void count(Job job, int tasks) {
-            used[job.rank().ordinal()] = used[job.rank().ordinal()].plus(job.each().times(tasks));
-            taskCount += tasks;
+        /**
+         * Counts tasks of a job that the block has already.
+         *
+         * @param recorded how many its record names
+         * @param running how many of them still take room
+         */
+        public void count(Job job, int recorded, int running) {
+            bytes += bytesFor(job, recorded);
+            use(job, running);
+        }
+
+        private void use(Job job, int tasks) {
+            Resources more = job.each().times(tasks);
+            for (int rank = 0; rank <= job.rank().ordinal(); rank++) {
+                usedFrom[rank] = usedFrom[rank].plus(more);
+            }
         }
 
         /** What was admitted to this block. */
@@ -71,21 +97,36 @@
             return admitted;
         }
 
+        /** The highest priority of what was admitted, or null if nothing was. */
+        public Rank admittedRank() {
+            return admittedRank;
+        }
+
         private Resources usedFrom(Rank rank) {
-            Resources sum = Resources.NONE;
-            for (int r = rank.ordinal(); r < used.length; r++) {
-                sum = sum.plus(used[r]);
-            }
-            return sum;
+            return usedFrom[rank.ordinal()];
         }
 
         private Resources free() {
             return capacity.minus(usedFrom(Rank.LOW));
         }
 
+        private int bytesFor(Job job, int tasks) {
+            return job.id().digits().length() + ITEM_BYTES + TaskSet.mostBytes(job.tasks(), tasks);
+        }
+
         private void admit(Job job, int index) {
-            admitted.computeIfAbsent(job.id(), id -> new TaskSet()).add(index);
-            count(job, 1);
+            TaskSet set = admitted.get(job.id());
+            if (set == null) {
+                set = new TaskSet();
+                admitted.put(job.id(), set);
+                bytes += bytesFor(job, 0);
+            }
+            set.add(index);
+            bytes += bytesFor(job, 1) - bytesFor(job, 0);
+            use(job, 1);
+            if (admittedRank == null || job.rank().isAbove(admittedRank)) {
+                admittedRank = job.rank();
+            }
         }
     }
 
@@ -109,23 +150,28 @@
     public record Unmet(Job job, int tasks, Map<String, Integer> perZone) {
     }
 
-    private final List<Block> blocks;
+    private final Collection<Block> blocks;
     private final Map<String, Team> teams;
     private final Map<String, Resources> teamUse;
     private final Map<BlockId, List<Reserve>> reserves;
-    private final int mostTasksInBlock;
+    private final Map<Alike, List<Resources>> withoutRoom = new HashMap<>();
+    private long looks;
 
     /**
      * @param teamUse what the tasks of each team take that are not proven gone
      * @param reserves what blocks keep free
      */
-    public Admission(List<Block> blocks, Map<String, Team> teams, Map<String, Resources> teamUse,
-            Map<BlockId, List<Reserve>> reserves, int mostTasksInBlock) {
+    public Admission(Collection<Block> blocks, Map<String, Team> teams, Map<String, Resources> teamUse,
+            Map<BlockId, List<Reserve>> reserves) {
         this.blocks = blocks;
         this.teams = teams;
         this.teamUse = new HashMap<>(teamUse);
         this.reserves = reserves;
-        this.mostTasksInBlock = mostTasksInBlock;
+    }
+
+    /** How often a block was looked at for a job: the work that was done. */
+    public long looks() {
+        return looks;
     }
 
     /** Admits what can be admitted, the most urgent first; returns what there was no block for. */
@@ -150,10 +196,11 @@
         return unmet;
     }
 
-    private boolean withinLimit(Job job, int tasks) {
+    /** How many tasks of a job its team's limit leaves room for. */
+    private int withinLimit(Job job) {
         Team team = teams.get(job.team());
-        Resources use = teamUse.getOrDefault(job.team(), Resources.NONE);
-        return team != null && use.plus(job.each().times(tasks)).fitsIn(team.limit());
+        return team == null ? 0
+                : team.limit().minus(teamUse.getOrDefault(job.team(), Resources.NONE)).count(job.each());
     }
 
     private void admit(Job job, int index, Block block) {
@@ -161,50 +208,116 @@
         teamUse.merge(job.team(), job.each(), Resources::plus);
     }
 
-    /** Returns how many tasks no block has room for; those that wait for their team's limit do not count. */
+    /** Jobs that a block has room for or not alike, but for how much their tasks take. */
+    private record Alike(Set<String> types, String zone, boolean spot, boolean array, Rank rank, boolean pressed) {
+    }
+
+    /**
+     * Returns how many tasks no block has room for; those that wait for their team's limit do not count. Looks at each
+     * block once for a job, and then for each task only at those whose order may have changed; at none where a job
+     * like this one that asks for no more has found no room before.
+     */
     private int admitTasks(Demand demand, Map<String, Integer> perZone) {
         Job job = demand.job();
-        int left = demand.pool().size();
-        for (int index = demand.pool().next(0); index >= 0; index = demand.pool().next(index + 1)) {
-            if (!withinLimit(job, 1)) {
-                return 0;
-            }
-            Block best = null;
-            for (Block block : blocks) {
-                if (mayGo(job, block, perZone) && hasRoom(job, 1, demand.isPressed(), block)
-                        && (best == null || preference(job, perZone).compare(block, best) < 0)) {
-                    best = block;
-                }
-            }
+        int left = Math.min(demand.pool().size(), withinLimit(job));
+        if (left == 0) {
+            return 0;
+        }
+        // Where one task may change where the next may go, all blocks are looked at for each.
+        boolean bound = job.spread() || job.oneZone();
+        boolean large = blocks.stream().anyMatch(block -> Reserve.isLarge(job, block.machine));
+        Alike alike = bound || large ? null
+                : new Alike(job.types(), job.zone(), job.spot(), job.shape() == Shape.ARRAY, job.rank(), demand.isPressed());
+        if (alike != null && withoutRoom.getOrDefault(alike, List.of()).stream().anyMatch(each -> each.fitsIn(job.each()))) {
+            return left;
+        }
+        PriorityQueue<Choice> choices = bound ? null : choices(demand, perZone);
+        for (int index = demand.pool().next(0); left > 0; index = demand.pool().next(index + 1)) {
+            PriorityQueue<Choice> from = bound ? choices(demand, perZone) : choices;
+            Choice best = from.poll();
             if (best == null) {
+                if (alike != null) {
+                    withoutRoom.computeIfAbsent(alike, a -> new ArrayList<>()).add(job.each());
+                }
                 return left;
             }
-            admit(job, index, best);
-            perZone.merge(best.zone, 1, Integer::sum);
+            Block block = best.block;
+            admit(job, index, block);
+            perZone.merge(block.zone, 1, Integer::sum);
             left--;
+            if (!bound && hasRoom(job, 1, demand.isPressed(), block)) {
+                choices.add(new Choice(block, job, 0));
+            }
+        }
+        return 0;
+    }
+
+    private PriorityQueue<Choice> choices(Demand demand, Map<String, Integer> perZone) {
+        PriorityQueue<Choice> choices = new PriorityQueue<>();
+        Job job = demand.job();
+        for (Block block : blocks) {
+            looks++;
+            if (mayGo(job, block, perZone) && hasRoom(job, 1, demand.isPressed(), block)) {
+                choices.add(new Choice(block, job, job.spread() ? perZone.getOrDefault(block.zone, 0) : 0));
+            }
+        }
+        return choices;
+    }
+
+    /** A block that a task could go to, as it is now; the better one is less. */
+    private static final class Choice implements Comparable<Choice> {
+        private final Block block;
+        private final int grade;
+        private final int inZone;
+        private final int second;
+        private final double used;
+
+        Choice(Block block, Job job, int inZone) {
+            this.block = block;
+            this.inZone = inZone;
+            this.used = block.usedFrom(Rank.LOW).shareOf(block.capacity);
+            boolean wastesGpus = job.each().gpus() == 0 && block.capacity.gpus() > 0;
+            boolean waits = !job.each().fitsIn(block.free());
+            this.grade = (wastesGpus ? 2 : 0) + (waits ? 1 : 0);
+            this.second = (block.images.contains(job.image()) ? 0 : 2) + (block.spot ? 0 : 1);
+        }
+
+        @Override
+        public int compareTo(Choice other) {
+            if (grade != other.grade) {
+                return Integer.compare(grade, other.grade);
+            }
+            if (inZone != other.inZone) {
+                return Integer.compare(inZone, other.inZone);
+            }
+            if (second != other.second) {
+                return Integer.compare(second, other.second);
+            }
+            int byUse = Double.compare(used, other.used);
+            return byUse != 0 ? byUse : block.id.compareTo(other.block.id);
         }
-        return left;
     }
 
     /** A gang goes to one block as a whole. */
     private int admitGang(Demand demand) {
         Job job = demand.job();
-        if (demand.pool().size() < job.tasks() || !withinLimit(job, job.tasks())) {
+        if (demand.pool().size() < job.tasks() || withinLimit(job) < job.tasks()) {
             return 0; // some of it is still out there, or its team is at its limit
         }
-        Block best = null;
+        Choice best = null;
         for (Block block : blocks) {
+            looks++;
             if (mayGo(job, block, Map.of()) && hasRoom(job, job.tasks(), demand.isPressed(), block)
-                    && (!job.spread() || job.tasks() <= job.mostInOneZone())
-                    && (best == null || preference(job, Map.of()).compare(block, best) < 0)) {
-                best = block;
+                    && (!job.spread() || job.tasks() <= job.mostInOneZone())) {
+                Choice choice = new Choice(block, job, 0);
+                best = best == null || choice.compareTo(best) < 0 ? choice : best;
             }
         }
         if (best == null) {
             return job.tasks();
         }
         for (int index = 0; index < job.tasks(); index++) {
-            admit(job, index, best);
+            admit(job, index, best.block);
         }
         return 0;
     }
@@ -220,14 +333,13 @@
     }
 
     private boolean hasRoom(Job job, int tasks, boolean mayPreempt, Block block) {
-        if (block.taskCount + tasks > mostTasksInBlock || block.machines == 0) {
+        if (block.machines == 0 || block.bytes + block.bytesFor(job, tasks) > block.mostBytes) {
             return false;
         }
-        Resources machine = block.capacity.times(1.0 / block.machines);
         Resources capacity = job.shape() == Shape.ARRAY ? block.capacity.times(QUEUE_AHEAD) : block.capacity;
         Resources kept = Resources.NONE;
         for (Reserve reserve : reserves.getOrDefault(block.id, List.of())) {
-            if (reserve.keepsOut(job, machine)) {
+            if (reserve.keepsOut(job, block.machine)) {
                 // What the room is kept for and runs there already is part of what is used.
                 capacity = block.capacity;
                 kept = kept.plus(reserve.total());
@@ -235,17 +347,6 @@
         }
         Resources room = capacity.minus(kept).minus(block.usedFrom(mayPreempt ? job.rank() : Rank.LOW));
         return job.each().times(tasks).fitsIn(room)
-                && machine.count(job.each()) * block.machines >= tasks;
-    }
-
-    private Comparator<Block> preference(Job job, Map<String, Integer> perZone) {
-        return Comparator
-                .comparing((Block block) -> job.each().gpus() == 0 && block.capacity.gpus() > 0)
-                .thenComparing(block -> !job.each().fitsIn(block.free()))
-                .thenComparing(block -> job.spread() ? perZone.getOrDefault(block.zone, 0) : 0)
-                .thenComparing(block -> !block.images.contains(job.image()))
-                .thenComparing(block -> !block.spot)
-                .thenComparing(block -> block.usedFrom(Rank.LOW).shareOf(block.capacity))
-                .thenComparing(block -> block.id);
+                && block.machine.count(job.each()) * block.machines >= tasks;
     }
 }
--- a/src/main/java/org/quincecross/state/BlockLease.java
+++ b/src/main/java/org/quincecross/state/BlockLease.java
@@ -12,26 +12,27 @@
 import org.quincecross.model.Machine;
 import org.quincecross.model.MachineId;
 import org.quincecross.model.MemberId;
+import org.quincecross.model.Revision;
 import org.quincecross.model.Token;
 import org.quincecross.wire.BadMessage;
 import org.quincecross.wire.Fields;
 import org.quincecross.wire.Json;
 
 /**
- * A block and the controller that it is leased to. Every change of the record is a new lease with a higher token, also
- * where only a machine was added: the holder then goes on with what it knows.
+ * A block and the controller that it is leased to. The token is the revision of the lease with which the present
+ * holder's unbroken holding began: it rises with every change of holder, and only then. A machine that joins has been
+ * in no other block, so it has seen no higher token.
  *
  * @param holder the controller that may give commands to the machines
  * @param life the life of the holder that the lease was made for
  * @param leaving machines that are to go back to the cloud, and get no more work
- * @param tenure the lease with which the present holder's unbroken holding began
- * @param token the revision of this lease
+ * @param version of this record
  */
 public record BlockLease(
         BlockId id, MemberId holder, Incarnation life, String type, String zone, boolean spot,
-        Map<MachineId, Machine> machines, Set<MachineId> leaving, Token tenure, Token token) {
+        Map<MachineId, Machine> machines, Set<MachineId> leaving, Token token, Revision version) {
 
-    static BlockLease read(BlockId id, Object value, Token token) throws BadMessage {
+    static BlockLease read(BlockId id, Object value, Revision version) throws BadMessage {
         Fields in = Fields.of(value, "a block");
         String type = in.text("type");
         String zone = in.text("zone");
@@ -50,7 +51,7 @@
             in.texts("leaving").forEach(name -> leaving.add(new MachineId(name)));
         }
         return new BlockLease(id, new MemberId(in.text("holder")), new Incarnation(in.unsigned("life")), type, zone, spot,
-                machines, leaving, in.has("tenure") ? new Token(in.unsigned("tenure")) : token, token);
+                machines, leaving, new Token(in.has("token") ? in.unsigned("token") : version.number()), version);
     }
 
     public Map<String, Object> write() {
@@ -60,8 +61,8 @@
         }
         Map<String, Object> out = Json.object("holder", holder.text(), "life", life.number(), "type", type, "zone", zone,
                 "spot", spot, "machines", list);
-        if (tenure.number() != 0) {
-            out.put("tenure", tenure.number());
+        if (token.number() != 0) {
+            out.put("token", token.number());
         }
         if (!leaving.isEmpty()) {
             out.put("leaving", leaving.stream().map(MachineId::text).toList());
@@ -72,18 +73,18 @@
     /** A block as it is to be leased for the first time. */
     public static BlockLease first(BlockId id, MemberRecord holder, Machine machine) {
         return new BlockLease(id, holder.member(), holder.life(), machine.type(), machine.zone(), machine.spot(),
-                Map.of(machine.id(), machine), Set.of(), Token.NONE, Token.NONE);
+                Map.of(machine.id(), machine), Set.of(), Token.NONE, Revision.NONE);
     }
 
-    /** The block under another holder, whose tenure begins with the lease to be written. */
+    /** The block under another holder, whose token is the revision of the lease to be written. */
     public BlockLease heldBy(MemberRecord member) {
-        return new BlockLease(id, member.member(), member.life(), type, zone, spot, machines, leaving, Token.NONE, token);
+        return new BlockLease(id, member.member(), member.life(), type, zone, spot, machines, leaving, Token.NONE, version);
     }
 
     public BlockLease with(Machine machine) {
         Map<MachineId, Machine> more = new LinkedHashMap<>(machines);
         more.put(machine.id(), machine);
-        return new BlockLease(id, holder, life, type, zone, spot, more, leaving, tenure, token);
+        return new BlockLease(id, holder, life, type, zone, spot, more, leaving, token, version);
     }
 
     public BlockLease without(MachineId machine) {
@@ -91,12 +92,12 @@
         fewer.remove(machine);
         Set<MachineId> left = new LinkedHashSet<>(leaving);
         left.remove(machine);
-        return new BlockLease(id, holder, life, type, zone, spot, fewer, left, tenure, token);
+        return new BlockLease(id, holder, life, type, zone, spot, fewer, left, token, version);
     }
 
     public BlockLease leaving(MachineId machine) {
         Set<MachineId> more = new LinkedHashSet<>(leaving);
         more.add(machine);
-        return new BlockLease(id, holder, life, type, zone, spot, machines, more, tenure, token);
+        return new BlockLease(id, holder, life, type, zone, spot, machines, more, token, version);
     }
 }
--- a/src/main/java/org/quincecross/state/DoneTasks.java
+++ b/src/main/java/org/quincecross/state/DoneTasks.java
@@ -3,6 +3,7 @@
 import java.util.Base64;
 import java.util.BitSet;
 import java.util.Map;
+import org.quincecross.model.JobId;
 import org.quincecross.model.TaskSet;
 import org.quincecross.wire.BadMessage;
 import org.quincecross.wire.Fields;
@@ -20,6 +21,16 @@
     private DoneTasks() {
     }
 
+    /** What a page of several jobs' done tasks says. */
+    public static Map<String, Object> writePage(Map<JobId, TaskSet> jobs) {
+        return Json.object("jobs", TaskSets.write(jobs));
+    }
+
+    /** Whether a job's done tasks are short enough for a page. */
+    public static boolean fitsPage(TaskSet done) {
+        return done.toString().length() <= MOST_RANGES;
+    }
+
     /** The tasks of {@code all} that lie in a chunk, counted from the job's first task. */
     public static Map<String, Object> write(TaskSet all, int chunk) {
         TaskSet in = new TaskSet();
--- a/src/main/java/org/quincecross/state/Follower.java
+++ b/src/main/java/org/quincecross/state/Follower.java
@@ -26,6 +26,8 @@
     private static final Logger LOG = LoggerFactory.getLogger(Follower.class);
     private static final Span WATCH = Span.ofSeconds(10);
     private static final Span RETRY = Span.ofMillis(250);
+    /** Changes that come close together are read together: requests are limited, and each reading has its cost. */
+    private static final Span WATCH_SPACING = Span.ofMillis(40);
     private static final Span BARRIER_TIMEOUT = Span.ofSeconds(1.2);
     private static final Span BARRIER_SPACING = Span.ofMillis(40);
     /** How often the ledger is confirmed even if nobody asks. */
@@ -154,7 +156,16 @@
                 return;
             }
             if (take(outcome, sent)) {
-                watch();
+                long pause = WATCH_SPACING.nanos() - timers.now().since(sent).nanos();
+                if (pause <= 0) {
+                    watch();
+                } else {
+                    timers.after(new Span(pause), () -> {
+                        if (generation == mine) {
+                            watch();
+                        }
+                    });
+                }
             } else if (outcome.status() == 410) {
                 LOG.info("too far behind the records: reading them anew");
                 load();
--- a/src/main/java/org/quincecross/state/Foresight.java
+++ b/src/main/java/org/quincecross/state/Foresight.java
@@ -12,7 +12,6 @@
 import org.quincecross.model.MachineType;
 import org.quincecross.model.Rank;
 import org.quincecross.model.Resources;
-import org.quincecross.model.Revision;
 import org.quincecross.model.Span;
 import org.quincecross.model.SteadyTime;
 import org.quincecross.sched.Reserve;
@@ -23,6 +22,7 @@
     private static final Span REMEMBERED = Span.ofSeconds(300);
     /** Whole machines kept beyond those that waiting work needs, as long as such work is about. */
     private static final int SPARE = 2;
+    private static final Span LOOK_EVERY = Span.ofMillis(400);
 
     private record Kind(String type, boolean spot) {
     }
@@ -34,16 +34,17 @@
     private final Map<Kind, Seen> seen = new HashMap<>();
     private final Map<BlockId, List<Reserve>> reserves = new HashMap<>();
     private Seen urgent;
-    private Revision computedAt = Revision.NONE;
+    private SteadyTime computedAt;
 
     public Foresight(Ledger ledger) {
         this.ledger = ledger;
     }
 
     public List<Reserve> of(BlockId block, SteadyTime now) {
-        if (!computedAt.equals(ledger.revision())) {
+        // What should be kept free follows what has come in minutes: no need to look at everything at every change.
+        if (computedAt == null || now.since(computedAt).isMoreThan(LOOK_EVERY)) {
             compute(now);
-            computedAt = ledger.revision();
+            computedAt = now;
         }
         return reserves.getOrDefault(block, List.of());
     }
--- a/src/main/java/org/quincecross/state/Keys.java
+++ b/src/main/java/org/quincecross/state/Keys.java
@@ -15,6 +15,7 @@
     static final String MEMBERS = ROOT + "member/";
     static final String JOBS = ROOT + "job/";
     static final String DONE = ROOT + "done/";
+    static final String PAGES = ROOT + "page/";
     static final String BLOCKS = ROOT + "block/";
     static final String ALLOCATIONS = ROOT + "alloc/";
     static final String TYPES = ROOT + "type/";
@@ -35,6 +36,11 @@
         return DONE + job.text() + "/" + chunk;
     }
 
+    /** A record of which tasks of several jobs are done. */
+    public static String page(int page) {
+        return PAGES + page;
+    }
+
     public static String block(BlockId block) {
         return BLOCKS + block.text();
     }
--- a/src/main/java/org/quincecross/state/Ledger.java
+++ b/src/main/java/org/quincecross/state/Ledger.java
@@ -19,7 +19,6 @@
 import org.quincecross.model.MemberId;
 import org.quincecross.model.Revision;
 import org.quincecross.model.TaskSet;
-import org.quincecross.model.Token;
 import org.quincecross.wire.BadMessage;
 import org.quincecross.wire.CloudCodec;
 import org.quincecross.wire.Fields;
@@ -44,6 +43,8 @@
     private final TreeSet<JobRecord> open = new TreeSet<>(
             Comparator.comparing(JobRecord::version).thenComparing(JobRecord::id));
     private final Map<JobId, Map<Integer, TaskSet>> done = new HashMap<>();
+    private final Map<Integer, Map<JobId, TaskSet>> pages = new TreeMap<>();
+    private final Map<JobId, TaskSet> paged = new HashMap<>();
     private final Map<BlockId, BlockLease> blocks = new TreeMap<>();
     private final Map<BlockId, Allocation> allocations = new HashMap<>();
     private final Map<MachineId, BlockId> blockOf = new HashMap<>();
@@ -81,6 +82,11 @@
         return jobs.get(id);
     }
 
+    /** All jobs, those that are over among them. */
+    public Set<JobId> jobs() {
+        return jobs.keySet();
+    }
+
     public int jobCount() {
         return jobs.size();
     }
@@ -91,6 +97,10 @@
     }
 
     public boolean isDone(JobId job, int index) {
+        TaskSet onPage = paged.get(job);
+        if (onPage != null && onPage.has(index)) {
+            return true;
+        }
         Map<Integer, TaskSet> chunks = done.get(job);
         TaskSet chunk = chunks == null ? null : chunks.get(index / DoneTasks.CHUNK);
         return chunk != null && chunk.has(index);
@@ -98,22 +108,23 @@
 
     /** A copy of the set of a job's done tasks. */
     public TaskSet doneTasks(JobId job) {
-        TaskSet all = new TaskSet();
+        TaskSet all = paged.containsKey(job) ? paged.get(job).copy() : new TaskSet();
         done.getOrDefault(job, Map.of()).values().forEach(all::addAll);
         return all;
     }
 
     public int doneCount(JobId job) {
-        int count = 0;
-        for (TaskSet chunk : done.getOrDefault(job, Map.of()).values()) {
-            count += chunk.size();
-        }
-        return count;
+        return doneTasks(job).size();
     }
 
-    /** The chunks of a job that have a record of done tasks. */
-    public Set<Integer> doneChunks(JobId job) {
-        return done.getOrDefault(job, Map.of()).keySet();
+    /** The pages of done tasks, each with what its record has now. */
+    public Map<Integer, Map<JobId, TaskSet>> pages() {
+        return pages;
+    }
+
+    /** Whether a job has done tasks in chunks of its own. */
+    public boolean hasChunks(JobId job) {
+        return done.containsKey(job);
     }
 
     public Map<BlockId, BlockLease> blocks() {
@@ -134,6 +145,11 @@
         return block == null ? null : blocks.get(block);
     }
 
+    /** How many machines are in blocks. */
+    public int machineCount() {
+        return blockOf.size();
+    }
+
     public Map<MemberId, MemberRecord> members() {
         return members;
     }
@@ -204,6 +220,8 @@
                 putJob(key.substring(Keys.JOBS.length()), value, version);
             } else if (key.startsWith(Keys.DONE)) {
                 putDone(key.substring(Keys.DONE.length()), value);
+            } else if (key.startsWith(Keys.PAGES)) {
+                putPage(key.substring(Keys.PAGES.length()), value);
             } else if (key.startsWith(Keys.BLOCKS)) {
                 putBlock(new BlockId(key.substring(Keys.BLOCKS.length())), value, version);
             } else if (key.startsWith(Keys.ALLOCATIONS)) {
@@ -236,6 +254,8 @@
         }
         if (record.phase() == JobPhase.OPEN) {
             open.add(record);
+        } else if (record.phase() == JobPhase.DONE) {
+            paged.remove(id); // all of it is done: nobody asks for the parts
         }
         touchedJobs.add(id);
     }
@@ -260,8 +280,28 @@
         }
     }
 
+    /** A done task stays done, also where its job has left the page: it does so only once it is over. */
+    private void putPage(String name, Object value) throws BadMessage {
+        if (!name.matches("[0-9]{1,6}") || value == null) {
+            throw new BadMessage("bad key");
+        }
+        Map<JobId, TaskSet> sets = TaskSets.read(Fields.of(value, "a page").fields("jobs"));
+        pages.put(Integer.parseInt(name), sets);
+        sets.forEach((job, set) -> {
+            if (jobs.containsKey(job) && jobs.get(job).phase() == JobPhase.DONE) {
+                return;
+            }
+            TaskSet known = paged.computeIfAbsent(job, id -> new TaskSet());
+            int before = known.size();
+            known.addAll(set);
+            if (known.size() != before) {
+                touchedJobs.add(job);
+            }
+        });
+    }
+
     private void putBlock(BlockId id, Object value, Revision version) throws BadMessage {
-        BlockLease lease = value == null ? null : BlockLease.read(id, value, new Token(version.number()));
+        BlockLease lease = value == null ? null : BlockLease.read(id, value, version);
         touchedBlocks.add(id);
         BlockLease before = lease == null ? blocks.remove(id) : blocks.put(id, lease);
         if (before != null) {
--- a/src/main/java/org/quincecross/wire/Fields.java
+++ b/src/main/java/org/quincecross/wire/Fields.java
@@ -24,6 +24,11 @@
         throw new BadMessage(where + " is not an object");
     }
 
+    /** The names of the fields. */
+    public List<String> names() {
+        return map.keySet().stream().map(String::valueOf).toList();
+    }
+
     public boolean has(String name) {
         return map.get(name) != null;
     }
--- a/src/test/java/org/quincecross/peer/PeerCodecTest.java
+++ b/src/test/java/org/quincecross/peer/PeerCodecTest.java
@@ -32,13 +32,14 @@
         var names = Arbitraries.strings().ofMaxLength(10);
         var machines = Combinators.combine(names, Arbitraries.doubles().between(0, 1000), Arbitraries.longs(),
                 Arbitraries.of(true, false), Arbitraries.integers(), names.list().ofMaxSize(4)).as((name, free, silent, flag, n, images) ->
-                    new PeerReport.MachineState(new MachineId(name), new Resources(free, 0, free), new Span(silent), flag, !flag,
+                    new PeerReport.MachineState(new MachineId(name), new Resources(free, 0, free), new Span(silent), !flag, flag, !flag,
                             flag, !flag, n, n, images, images));
         var blocks = Combinators.combine(names, Arbitraries.longs(), tasks, tasks, jobs, machines.list().ofMaxSize(6))
                 .as((name, token, completed, released, job, states) -> new PeerReport.Block(new BlockId(name), new Token(token),
-                        new Revision(token), completed, released, Map.of(job, 3), states));
-        return Combinators.combine(names, Arbitraries.longs(), blocks.list().ofMaxSize(4), names.map(MachineId::new).list().ofMaxSize(3))
+                        new Revision(token), token % 2 == 0, completed, released, Map.of(job, 3), states));
+        return Combinators.combine(names, Arbitraries.longs().between(1, Long.MAX_VALUE), blocks.list().ofMaxSize(4), names.map(MachineId::new).list().ofMaxSize(3))
                 .as((name, number, list, strays) -> new PeerReport(new MemberId(name), new Incarnation(number), number,
+                        number / 2, Map.of(new MemberId(name), new PeerReport.Receipt(new Incarnation(number), number, true)),
                         new Span(number), list, strays));
     }
 
--- a/src/test/java/org/quincecross/sched/AdmissionTest.java
+++ b/src/test/java/org/quincecross/sched/AdmissionTest.java
@@ -48,7 +48,7 @@
             for (boolean spot : new boolean[] {true, false}) {
                 BlockId id = new BlockId(zone + spot);
                 zoneOf.put(id, zone);
-                blocks.add(new Admission.Block(id, "m", zone, spot, new Resources(16, 0, 64), 2, Set.of()));
+                blocks.add(new Admission.Block(id, "m", zone, spot, new Resources(16, 0, 64), 2, Set.of(), 4000));
             }
         }
         List<Admission.Demand> demands = new ArrayList<>();
@@ -65,7 +65,7 @@
         byId.clear();
         demands.forEach(demand -> byId.put(demand.job().id(), demand.job()));
         Resources before = new Resources(4, 0, 0);
-        new Admission(blocks, Map.of("t", TEAM), Map.of("t", before), Map.of(), 100).run(demands);
+        new Admission(blocks, Map.of("t", TEAM), Map.of("t", before), Map.of()).run(demands);
 
         Resources use = before;
         Map<JobId, Map<String, Integer>> perZone = new HashMap<>();
--- a/src/test/java/org/quincecross/world/World.java
+++ b/src/test/java/org/quincecross/world/World.java
@@ -165,12 +165,15 @@
         String name = nodeName(node);
         controllers[node] = new Controller(time.timersOf(process, random.nextInt(1_000_000_000)),
                 (to, request, timeout, done) -> net.call(process, name, to, request, timeout, done),
-                (to, frame) -> net.send(name, to.text(), () -> {
-                    int other = Integer.parseInt(to.text().substring(1));
-                    if (processes[other].isAlive()) {
-                        controllers[other].frame(frame);
-                    }
-                }), settings(node), () -> (long) (time.seconds() * 1000));
+                (to, frame) -> {
+                    net.send(name, to.text(), () -> {
+                        int other = Integer.parseInt(to.text().substring(1));
+                        if (processes[other].isAlive()) {
+                            controllers[other].frame(frame);
+                        }
+                    });
+                    return true;
+                }, settings(node), () -> (long) (time.seconds() * 1000));
         controllers[node].start();
     }
 
