--- a/src/main/java/org/quincecross/api/Controller.java
+++ b/src/main/java/org/quincecross/api/Controller.java
@@ -50,7 +50,9 @@
     /** Without word from the state service for so long, this controller counts itself out. */
     private static final Span UNHEALTHY = Span.ofSeconds(3);
     /** Of the time that a cancellation has: for clocks, messages, and workers that notice late. */
-    private static final Span CANCEL_MARGIN = Span.ofSeconds(4);
+    private static final Span CANCEL_MARGIN = Span.ofSeconds(1.5);
+    /** Until a cancellation that not all holders have seen may be told; they may go on for so much longer. */
+    private static final Span CANCEL_TOLD_AFTER = Span.ofSeconds(8);
 
     private final Timers timers;
     private final HttpCaller http;
@@ -66,6 +68,7 @@
     private final UserApi users;
     private final AgentApi agents;
     private final AdminApi admin;
+    private final Cancellations cancellations;
     private final Metrics metrics = new Metrics();
     private final PeerViews views = new PeerViews();
     private final Map<MemberId, Long> sent = new HashMap<>();
@@ -88,7 +91,9 @@
         fleet = new Fleet(timers, http, ledger, settings, foresight, membership::life,
                 () -> AdminApi.settings(ledger));
         leader = new Leader(timers, client, ledger, follower, membership, settings, fleet, foresight, views, clockMs);
-        users = new UserApi(timers, ledger, follower, client, settings, this::running, clockMs);
+        cancellations = new Cancellations(timers, ledger, holdings, views, clockMs, CANCEL_TOLD_AFTER, settings.clockBound());
+        users = new UserApi(timers, ledger, follower, client, settings, this::running, clockMs, cancellations,
+                membership::life);
         agents = new AgentApi(timers, ledger, holdings, leader, settings.member());
         admin = new AdminApi(timers, ledger, follower, membership, client, holdings, leader, metrics);
         longestUnconfirmed = longestUnconfirmed(settings.workers());
@@ -96,16 +101,18 @@
 
     /**
      * How long a holder may answer its machines after it last heard from the state service. A cancellation that it
-     * has not heard of was told at that time or later; its machines go on for at most a lease after its last answer;
-     * and all must be over within the time that a cancellation has.
+     * has not heard of became durable at that time or later, and was told {@link #CANCEL_TOLD_AFTER} after that at the
+     * earliest; its machines go on for at most a lease after its last answer; and all must be over within the time that a
+     * cancellation has.
      */
     static Span longestUnconfirmed(Settings.Workers workers) {
-        double seconds = workers.cancel().seconds() - workers.lease().seconds() * 1.002 - CANCEL_MARGIN.seconds();
+        double seconds = workers.cancel().seconds() + CANCEL_TOLD_AFTER.seconds() - workers.lease().seconds() * 1.002 - CANCEL_MARGIN.seconds();
         return Span.ofSeconds(Math.max(1, seconds));
     }
 
     public void start() {
         ledger.listen(holdings::ledgerChanged);
+        ledger.listen(cancellations::ledgerChanged);
         ledger.listen(this::forgetFormerHolders);
         ledger.listen(leader::ledgerChanged);
         ledger.listen(agents::ledgerChanged);
@@ -122,7 +129,8 @@
     private PeerReport report(long base) {
         SteadyTime confirmed = follower.confirmed();
         Span unconfirmed = confirmed == null ? Span.ofSeconds(1e6) : timers.now().since(confirmed);
-        return new PeerReport(settings.member(), membership.life(), reports, base, views.receipts(), unconfirmed,
+        return new PeerReport(settings.member(), membership.life(), reports, base, views.receipts(),
+                ledger.revision(), unconfirmed,
                 holdings.since(base), agents.strays());
     }
 
@@ -273,6 +281,18 @@
         return settings.workers();
     }
 
+    @Override
+    public Span startWithin(String jobClass) {
+        Span least = null;
+        for (Settings.Objective objective : settings.objectives()) {
+            if (objective.kind().equals("wait") && jobClass.equals(objective.jobClass()) && objective.within() != null
+                    && (least == null || least.isMoreThan(objective.within()))) {
+                least = objective.within();
+            }
+        }
+        return least;
+    }
+
     @Override
     public List<String> imagesOf(MachineId machine) {
         BlockLease block = ledger.blockOf(machine);
--- a/src/main/java/org/quincecross/api/UserApi.java
+++ b/src/main/java/org/quincecross/api/UserApi.java
@@ -3,9 +3,11 @@
 import java.util.List;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import java.util.function.ToIntFunction;
 import org.quincecross.http.HttpRequest;
 import org.quincecross.http.HttpResponse;
+import org.quincecross.model.Incarnation;
 import org.quincecross.model.Job;
 import org.quincecross.model.JobId;
 import org.quincecross.model.JobPhase;
@@ -46,9 +48,10 @@
     private final ToIntFunction<JobId> running;
     private final LongSupplier clockMs;
     private final Submissions submissions;
+    private final Cancellations cancellations;
 
     UserApi(Timers timers, Ledger ledger, Follower follower, StateClient client, Settings settings,
-            ToIntFunction<JobId> running, LongSupplier clockMs) {
+            ToIntFunction<JobId> running, LongSupplier clockMs, Cancellations cancellations, Supplier<Incarnation> life) {
         this.timers = timers;
         this.ledger = ledger;
         this.follower = follower;
@@ -56,7 +59,8 @@
         this.settings = settings;
         this.running = running;
         this.clockMs = clockMs;
-        this.submissions = new Submissions(timers, client, follower, settings.stateLimits().txnChanges());
+        this.cancellations = cancellations;
+        this.submissions = new Submissions(timers, client, follower, settings.member(), life, settings.stateLimits());
     }
 
     /** Answers a request below {@link JobCodec#JOBS}. */
@@ -96,6 +100,11 @@
         return confirmed == null || timers.now().since(confirmed).isMoreThan(UNCONFIRMED);
     }
 
+    /** Answers with a job's state; where a cancellation may not be told yet, the user is to come back. */
+    private void tell(JobRecord record, Consumer<HttpResponse> reply) {
+        cancellations.whenSafe(record, safe -> reply.accept(safe ? state(record) : later("being cancelled")));
+    }
+
     private HttpResponse state(JobRecord record) {
         int tasks = record.job() == null ? 0 : record.job().tasks();
         int done = record.phase() == JobPhase.DONE ? tasks : ledger.doneCount(record.id());
@@ -107,7 +116,7 @@
     private void look(JobId id, Consumer<HttpResponse> reply, Runnable unknown) {
         JobRecord known = ledger.job(id);
         if (known != null && known.phase().isFinal()) {
-            reply.accept(state(known));
+            tell(known, reply);
         } else if (isCutOff()) {
             reply.accept(later("the state service cannot be reached"));
         } else {
@@ -118,7 +127,7 @@
                 } else if (record == null) {
                     unknown.run();
                 } else {
-                    reply.accept(state(record));
+                    tell(record, reply);
                 }
             });
         }
@@ -169,8 +178,14 @@
         submissions.submit(job, clockMs.getAsLong(), outcome -> {
             JobRecord record = ledger.job(job.id());
             switch (outcome) {
-                case ACCEPTED -> reply.accept(HttpResponse.of(201, JobCodec.accepted(job.id(), JobPhase.OPEN, 0)));
-                case LOOK -> reply.accept(record == null ? later("try again") : state(record));
+                case ACCEPTED -> reply.accept(HttpResponse.of(201, JobCodec.status(job.id(), JobPhase.OPEN, 0, 0)));
+                case LOOK -> {
+                    if (record == null) {
+                        reply.accept(later("try again"));
+                    } else {
+                        tell(record, reply);
+                    }
+                }
                 case REFUSED -> reply.accept(later("the state service does not take it now"));
                 default -> throw new IllegalStateException(outcome.toString());
             }
@@ -213,17 +228,17 @@
             return;
         }
         if (known.phase().isFinal()) {
-            reply.accept(state(known));
+            tell(known, reply);
             return;
         }
         if (isCutOff() || tries == 0) {
             reply.accept(later("the state service cannot be reached"));
             return;
         }
-        client.txn(List.of(new Guard(Keys.job(id), known.version())),
-                List.of(Change.put(Keys.job(id), known.cancelled())), outcome -> {
+        client.txn(List.of(new Guard(Keys.job(id), ledger.version(Keys.job(id)))),
+                List.of(Change.put(Keys.job(id), known.cancelled(clockMs.getAsLong()))), outcome -> {
                     if (outcome.committed()) {
-                        reply.accept(HttpResponse.of(200, JobCodec.status(id, JobPhase.CANCELLED, ledger.doneCount(id), 0)));
+                        follower.barrier(current -> cancel(id, current ? tries - 1 : 0, reply));
                     } else {
                         follower.barrier(current -> timers.after(Span.ofMillis(60), () -> cancel(id, tries - 1, reply)));
                     }
--- a/src/main/java/org/quincecross/block/BlockHolder.java
+++ b/src/main/java/org/quincecross/block/BlockHolder.java
@@ -67,7 +67,7 @@
     private static final int ATTEMPT_BITS = 20;
     /** A replica that has just been started should not be stopped again for tidiness. */
     private static final Span MOVABLE_AFTER = Span.ofSeconds(40);
-    private static final Span ROOM_PATIENCE = Span.ofMillis(300);
+    private static final Span ROOM_PATIENCE = Span.ofMillis(20);
 
     private final HolderContext context;
     private final Map<MachineId, Session> sessions = new LinkedHashMap<>();
@@ -109,6 +109,11 @@
         return lease.id();
     }
 
+    /** Whether every machine obeys this holder alone. */
+    public boolean hasAllFenced() {
+        return !superseded && sessions.values().stream().allMatch(session -> session.state() == Session.State.FENCED);
+    }
+
     /** Whether a machine has shown that another controller has the block, though the ledger here does not say so yet. */
     public boolean isSuperseded() {
         return superseded;
@@ -278,6 +283,9 @@
             }
             JobRecord record = context.ledger().job(job.id());
             Entry entry = new Entry(job, unit, record.version());
+            if (wouldBeLateByFetch(job)) {
+                entry.avoidFetch();
+            }
             if (placement.failures() > 0) {
                 entry.avoided().addAll(failedOn.getOrDefault(job.id(), Set.of()));
                 if (entry.avoided().size() >= sessions.size()) {
@@ -294,6 +302,13 @@
         }
     }
 
+    private boolean wouldBeLateByFetch(Job job) {
+        MachineType type = context.ledger().types().get(lease.type());
+        Span within = context.startWithin(job.jobClass());
+        return type != null && within != null && type.fetchGbPerS() > 0
+                && Span.ofSeconds(job.imageGb() / type.fetchGbPerS()).isMoreThan(within);
+    }
+
     /** Has the queues looked at again at a time, though nothing may have happened by then. */
     private void wakeBy(SteadyTime time) {
         if (wakeAt == null || time.isBefore(wakeAt)) {
@@ -605,7 +620,7 @@
             Session session = sessions.get(machine);
             if (session != null) {
                 session.found(isOpen(session));
-                scheduler.update(machine, used(session), session.wasOpen());
+                scheduler.update(machine, used(session), displaceable(machine), session.wasOpen());
                 scheduler.fetching(machine, fetching(session));
             }
         }
@@ -653,6 +668,19 @@
         return used;
     }
 
+    /** What urgent work could have in a moment: what takes no time to stop, or is being stopped already. */
+    private Resources displaceable(MachineId machine) {
+        Resources sum = Resources.NONE;
+        for (Placement placement : placements.on(machine)) {
+            Job job = placement.job();
+            if (placement.state() == Placement.State.STOPPING || placement.isBound() && job.rank() != Rank.PRODUCTION
+                    && job.shape() != Shape.GANG && !job.saves()) {
+                sum = sum.plus(job.each());
+            }
+        }
+        return sum;
+    }
+
     /** The images that tasks on the machine wait for, and the highest priority among those tasks. */
     private Map<String, Rank> fetching(Session session) {
         Map<String, Rank> images = new HashMap<>();
@@ -666,14 +694,13 @@
 
     /** Stops work of lower priority for work that has waited a moment and fits nowhere. */
     private void makeRoom(SteadyTime now) {
-        if (entries.isEmpty() || placements.count(Placement.State.STOPPING) > 0) {
-            return; // nothing waits, or room is being made already
+        if (entries.isEmpty()) {
+            return;
         }
-        List<Preemption.Running> running = null;
-        Set<Entry> seen = new HashSet<>();
-        for (Entry entry : List.copyOf(entries.values())) {
+        Preemption preemption = null;
+        for (Entry entry : Set.copyOf(entries.values()).stream().sorted(Entry.ORDER).toList()) {
             Placement first = placements.get(entry.tasks().get(0));
-            if (!seen.add(entry) || entry.tasks().size() > 1) {
+            if (entry.tasks().size() > 1) {
                 continue;
             }
             SteadyTime patient = first.since().plus(patience(first.job()));
@@ -681,19 +708,23 @@
                 wakeBy(patient);
                 continue;
             }
-            running = running == null ? stoppable() : running;
-            List<Preemption.Running> victims = Preemption.choose(scheduler, entry, running);
-            if (victims != null && !victims.isEmpty()) {
-                for (Preemption.Running victim : victims) {
-                    Placement placement = placements.get(victim.task());
-                    LOG.info("block {}: {} makes room for {}", id(), victim.task(), first.task());
-                    stopAll(placement, true, now);
-                }
-                return;
+            preemption = preemption == null ? new Preemption(scheduler, stoppable(), stopping()) : preemption;
+            for (Preemption.Running victim : preemption.makeRoom(entry)) {
+                LOG.info("block {}: {} makes room for {}", id(), victim.task(), first.task());
+                stopAll(placements.get(victim.task()), true, now);
             }
         }
     }
 
+    /** What the tasks take that are being stopped, on each machine. */
+    private Map<MachineId, Resources> stopping() {
+        Map<MachineId, Resources> stopping = new HashMap<>();
+        for (Placement placement : placements.in(Placement.State.STOPPING)) {
+            stopping.merge(placement.machine(), placement.job().each(), Resources::plus);
+        }
+        return stopping;
+    }
+
     private List<Preemption.Running> stoppable() {
         List<Preemption.Running> running = new ArrayList<>();
         for (Placement.State state : List.of(Placement.State.STARTING, Placement.State.ACTIVE)) {
--- a/src/main/java/org/quincecross/block/HolderContext.java
+++ b/src/main/java/org/quincecross/block/HolderContext.java
@@ -24,6 +24,9 @@
 
     Settings.Workers workers();
 
+    /** The time within which tasks of a class should start, or null if nothing is said of that. */
+    Span startWithin(String jobClass);
+
     /** The images that a machine was last said to have, by whoever held it. */
     List<String> imagesOf(MachineId machine);
 
--- a/src/main/java/org/quincecross/leader/Fleet.java
+++ b/src/main/java/org/quincecross/leader/Fleet.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -40,7 +41,12 @@
     private static final Span REFUSED_FOR = Span.ofSeconds(15);
     private static final Span CONSOLIDATE_FIRST = Span.ofSeconds(60);
     private static final Span CONSOLIDATE_EVERY = Span.ofSeconds(12);
+    private static final Span LOOK_FOR_THIN_EVERY = Span.ofSeconds(3);
     private static final int MOST_MOVED_AT_ONCE = 3;
+    /** Of so many machines one is emptied at a time. */
+    private static final int MACHINES_PER_EMPTIED = 100;
+    /** Of so many machines one may be unheard of while the fleet is called calm. */
+    private static final int MACHINES_PER_UNFENCED = 50;
     private static final double MOST_USED_TO_EMPTY = 0.55;
     private static final int MOST_REQUESTS_AT_ONCE = 3;
     private static final int MOST_AT_ONCE = 25;
@@ -230,7 +236,8 @@
 
     private Set<MachineId> returnable(View current, SteadyTime now) {
         Set<MachineId> back = new HashSet<>();
-        markIdle(current, now);
+        boolean calm = isCalm(current);
+        markIdle(current, calm, now);
         List<MachineId> silent = new ArrayList<>();
         for (Map.Entry<MachineId, PeerReport.MachineState> entry : current.machines().entrySet()) {
             PeerReport.MachineState state = entry.getValue();
@@ -255,8 +262,10 @@
             MachineId id = machine.machine().id();
             MachineType type = ledger.types().get(machine.machine().type());
             double boot = type == null ? 60 : type.boot().seconds();
-            boolean stuck = ledger.blockOf(id) == null && machine.age().seconds() > 5 * boot + 60;
-            if (machine.status() == CloudCodec.Status.FAILED || stuck) {
+            boolean placed = ledger.blockOf(id) != null;
+            boolean stuck = !placed && machine.age().seconds() > 5 * boot + 60;
+            boolean unneeded = !placed && calm && machine.age().seconds() > 2 * boot;
+            if (machine.status() == CloudCodec.Status.FAILED || stuck || unneeded) {
                 back.add(id);
             }
         }
@@ -276,9 +285,8 @@
     }
 
     /** Marks machines that have had nothing to do for a while, as long as nothing waits for room. */
-    private void markIdle(View current, SteadyTime now) {
+    private void markIdle(View current, boolean calm, SteadyTime now) {
         idleSince.keySet().retainAll(current.machines().keySet());
-        boolean calm = isCalm(current);
         for (Map.Entry<MachineId, PeerReport.MachineState> entry : current.machines().entrySet()) {
             boolean idle = entry.getValue().fenced() && entry.getValue().tasks() == 0 && entry.getValue().queued() == 0;
             if (!idle) {
@@ -360,6 +368,13 @@
             wanted.add(machine);
         }
 
+        /** Room that is spoken for. */
+        void promise(String type, Resources used) {
+            Resources each = foresight.urgentTask();
+            free.merge(type, used.times(-1), Resources::plus);
+            slots.merge(type, each.cpus() > 0 ? -(int) Math.ceil(used.shareOf(each)) : 0, Integer::sum);
+        }
+
         /** Whether as many whole machines stay without this one as are kept for large work. */
         boolean leavesReserve(MachineId machine, BlockLease block, View view) {
             Sort sort = new Sort(block.type(), block.spot());
@@ -374,8 +389,18 @@
 
     /** Whether nothing waits for room and nothing is going on that may soon ask for some. */
     private boolean isCalm(View current) {
-        return operators.get().returning() && unmet.isEmpty() && booting.isEmpty() && current.strays().isEmpty()
-                && current.machines().values().stream().allMatch(PeerReport.MachineState::fenced);
+        if (!operators.get().returning() || !unmet.isEmpty() || !current.strays().isEmpty()) {
+            return false;
+        }
+        long unfenced = current.machines().values().stream().filter(state -> !state.fenced()).count();
+        return unfenced <= current.machines().size() / MACHINES_PER_UNFENCED
+                && booting.values().stream().allMatch(this::isLate);
+    }
+
+    /** Whether a machine takes so much longer to boot than others that nobody counts on it. */
+    private boolean isLate(Booting machine) {
+        MachineType type = ledger.types().get(machine.kind().type());
+        return type != null && timers.now().since(machine.since()).isMoreThan(type.boot().times(2));
     }
 
     /** Whether the other machines of the type that have the images have room for the tasks, and for two more urgent ones. */
@@ -417,26 +442,34 @@
         if (now.isBefore(consolidateAfter) || !isCalm(current)) {
             return;
         }
-        MachineId best = null;
-        Resources bestUsed = null;
+        consolidateAfter = now.plus(LOOK_FOR_THIN_EVERY);
+        Map<MachineId, Double> thin = new HashMap<>();
         for (Map.Entry<MachineId, PeerReport.MachineState> entry : current.machines().entrySet()) {
             BlockLease block = ledger.blockOf(entry.getKey());
             PeerReport.MachineState state = entry.getValue();
-            if (block == null || !state.movable() || state.tasks() == 0 || state.tasks() > MOST_MOVED_AT_ONCE || state.queued() > 0 || wanted.contains(entry.getKey())) {
-                continue;
-            }
-            Resources capacity = ledger.types().get(block.type()).capacity();
-            Resources used = capacity.minus(state.free());
-            if (used.shareOf(capacity) <= MOST_USED_TO_EMPTY && hasRoomElsewhere(entry.getKey(), used, state.imagesInUse(), current)
-                    && (best == null || used.shareOf(capacity) < bestUsed.shareOf(capacity))) {
-                best = entry.getKey();
-                bestUsed = used;
+            if (block != null && state.movable() && state.tasks() > 0 && state.tasks() <= MOST_MOVED_AT_ONCE
+                    && state.queued() == 0 && !wanted.contains(entry.getKey())) {
+                Resources capacity = ledger.types().get(block.type()).capacity();
+                double share = capacity.minus(state.free()).shareOf(capacity);
+                if (share <= MOST_USED_TO_EMPTY) {
+                    thin.put(entry.getKey(), share);
+                }
             }
         }
-        if (best != null) {
-            LOG.info("machine {} is emptied: its replicas have room elsewhere", best);
-            want(best);
-            consolidateAfter = now.plus(CONSOLIDATE_EVERY);
+        List<MachineId> order = new ArrayList<>(thin.keySet());
+        order.sort(Comparator.comparing((MachineId machine) -> thin.get(machine)).thenComparing(machine -> machine));
+        int most = 1 + current.machines().size() / MACHINES_PER_EMPTIED;
+        for (MachineId machine : order) {
+            PeerReport.MachineState state = current.machines().get(machine);
+            Resources used = ledger.types().get(ledger.blockOf(machine).type()).capacity().minus(state.free());
+            if (most > 0 && hasRoomElsewhere(machine, used, state.imagesInUse(), current)) {
+                LOG.info("machine {} is emptied: its replicas have room elsewhere", machine);
+                want(machine);
+                room.remove(machine, current);
+                room.promise(ledger.blockOf(machine).type(), used);
+                consolidateAfter = now.plus(CONSOLIDATE_EVERY);
+                most--;
+            }
         }
     }
 
--- a/src/main/java/org/quincecross/leader/Leader.java
+++ b/src/main/java/org/quincecross/leader/Leader.java
@@ -71,6 +71,7 @@
     private static final double BLOCKS_PER_CHANGE = 0.6;
     /** Of the record of a block's tasks, what one task in a job of its own takes; see {@link Admission.Block}. */
     private static final int BYTES_PER_TASK = 14;
+    private static final Span SWEEP_EVERY = Span.ofSeconds(10);
     private static final Span REBALANCE_EVERY = Span.ofSeconds(8);
     /** Moving a block costs a moment and what its holder has learnt of it: a small gain is not worth that. */
     private static final int REBALANCE_GAIN = 4;
@@ -109,6 +110,7 @@
     private Revision awaited = Revision.NONE;
     private SteadyTime rebalanced;
     private SteadyTime planned;
+    private SteadyTime swept;
     private boolean stepPlanned;
     private boolean resultsFirst;
 
@@ -127,6 +129,7 @@
         this.clockMs = clockMs;
         this.rebalanced = timers.now();
         this.planned = timers.now();
+        this.swept = timers.now();
     }
 
     public void start() {
@@ -290,11 +293,23 @@
         if (!resultsFirst) {
             planResults(plan, completed);
         }
+        if (plan.isEmpty()) {
+            planSweep(plan);
+        }
         if (!plan.isEmpty()) {
             write(plan.guards(), plan.changes(), false);
         }
     }
 
+    /** Now and then, when there is nothing else to write: bundles that say nothing any more. */
+    private void planSweep(TxnPlan plan) {
+        if (SWEEP_EVERY.isMoreThan(timers.now().since(swept))) {
+            return;
+        }
+        swept = timers.now();
+        ledger.spentBundles().stream().sorted().limit(plan.room()).forEach(plan::delete);
+    }
+
     private void planTypes(TxnPlan plan) {
         for (MachineType type : fleet.catalog()) {
             MachineType known = ledger.types().get(type.name());
@@ -715,13 +730,13 @@
         MachineType type = ledger.types().get(lease.type());
         PeerViews.BlockView view = blockView(lease);
         int open = 0;
-        Set<String> images = new HashSet<>();
+        Map<String, Resources> images = new HashMap<>();
         if (view != null) {
             for (MachineId machine : lease.machines().keySet()) {
                 PeerReport.MachineState state = view.machines().get(machine);
                 if (state != null && state.open() && !lease.leaving().contains(machine)) {
                     open++;
-                    images.addAll(state.images());
+                    state.images().forEach(image -> images.merge(image, state.free(), Resources::plus));
                 }
             }
         }
--- a/src/main/java/org/quincecross/model/JobId.java
+++ b/src/main/java/org/quincecross/model/JobId.java
@@ -34,6 +34,18 @@
         return new TaskId(this, index);
     }
 
+    // Written out because ids are looked up all the time, and what a record is given for this is slow without the
+    // larger compiler, which the machines have no memory for.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof JobId id && id.text.equals(text);
+    }
+
+    @Override
+    public int hashCode() {
+        return text.hashCode();
+    }
+
     @Override
     public int compareTo(JobId other) {
         return text.compareTo(other.text);
--- a/src/main/java/org/quincecross/model/TaskId.java
+++ b/src/main/java/org/quincecross/model/TaskId.java
@@ -24,6 +24,16 @@
         return new TaskId(job, index);
     }
 
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof TaskId task && task.index == index && task.job.equals(job);
+    }
+
+    @Override
+    public int hashCode() {
+        return job.hashCode() * 31 + index;
+    }
+
     @Override
     public int compareTo(TaskId other) {
         int byJob = job.compareTo(other.job);
--- a/src/main/java/org/quincecross/peer/PeerCodec.java
+++ b/src/main/java/org/quincecross/peer/PeerCodec.java
@@ -44,6 +44,7 @@
                 out.packLong(receipt.getValue().number());
                 out.packBoolean(receipt.getValue().gap());
             }
+            out.packLong(report.ledger().number());
             out.packLong(report.unconfirmed().nanos());
             writeTexts(out, report.strays().stream().map(MachineId::text).toList());
             out.packArrayHeader(report.blocks().size());
@@ -126,6 +127,7 @@
                 receipts.put(new MemberId(in.unpackString()),
                         new PeerReport.Receipt(new Incarnation(in.unpackLong()), in.unpackLong(), in.unpackBoolean()));
             }
+            Revision ledger = new Revision(in.unpackLong());
             Span unconfirmed = new Span(in.unpackLong());
             List<MachineId> strays = readTexts(in).stream().map(MachineId::new).toList();
             List<PeerReport.Block> blocks = new ArrayList<>();
@@ -135,7 +137,7 @@
             if (in.hasNext()) {
                 throw new BadMessage("bytes left over in a peer report");
             }
-            return new PeerReport(member, life, number, base, receipts, unconfirmed, blocks, strays);
+            return new PeerReport(member, life, number, base, receipts, ledger, unconfirmed, blocks, strays);
         } catch (IOException | MessagePackException e) {
             throw new BadMessage("unreadable peer report");
         }
--- a/src/main/java/org/quincecross/peer/PeerReport.java
+++ b/src/main/java/org/quincecross/peer/PeerReport.java
@@ -20,11 +20,12 @@
  * @param number rises with every report of a life
  * @param base the report that this one builds upon; 0: none, this one is whole
  * @param receipts what the sender has received of others
+ * @param ledger everything up to here the sender and the blocks that it holds have taken note of
  * @param unconfirmed how long ago the sender last heard from the state service
  * @param strays machines of others' blocks that report to the sender
  */
 public record PeerReport(MemberId member, Incarnation life, long number, long base, Map<MemberId, Receipt> receipts,
-        Span unconfirmed, List<Block> blocks, List<MachineId> strays) {
+        Revision ledger, Span unconfirmed, List<Block> blocks, List<MachineId> strays) {
 
     /**
      * What a controller has received of another one.
--- a/src/main/java/org/quincecross/peer/PeerViews.java
+++ b/src/main/java/org/quincecross/peer/PeerViews.java
@@ -39,6 +39,7 @@
         private long number;
         private boolean gap;
         private SteadyTime at;
+        private Revision ledger = Revision.NONE;
         private Span unconfirmed = Span.ZERO;
         private Set<MachineId> strays = Set.of();
 
@@ -61,6 +62,11 @@
             return at;
         }
 
+        /** The revision that it had taken note of. */
+        public Revision ledger() {
+            return ledger;
+        }
+
         /** How long it had not heard from the state service. */
         public Span unconfirmed() {
             return unconfirmed;
@@ -113,6 +119,7 @@
         view.gap = false;
         view.number = report.number();
         view.at = now;
+        view.ledger = report.ledger();
         view.unconfirmed = report.unconfirmed();
         view.strays = new HashSet<>(report.strays());
         Set<BlockId> changed = new HashSet<>();
--- a/src/main/java/org/quincecross/sched/Admission.java
+++ b/src/main/java/org/quincecross/sched/Admission.java
@@ -45,7 +45,7 @@
         private final Resources capacity;
         private final Resources machine;
         private final int machines;
-        private final Set<String> images;
+        private final Map<String, Resources> images;
         private final int mostBytes;
         private final Resources[] usedFrom = new Resources[Rank.values().length];
         private final Map<JobId, TaskSet> admitted = new LinkedHashMap<>();
@@ -54,10 +54,11 @@
 
         /**
          * @param capacity of the machines that take work
+         * @param images those that machines of the block have, each with the free room there
          * @param mostBytes what the record of its tasks may take
          */
-        public Block(BlockId id, String type, String zone, boolean spot, Resources capacity, int machines, Set<String> images,
-                int mostBytes) {
+        public Block(BlockId id, String type, String zone, boolean spot, Resources capacity, int machines,
+                Map<String, Resources> images, int mostBytes) {
             this.id = id;
             this.type = type;
             this.zone = zone;
@@ -65,7 +66,7 @@
             this.capacity = capacity;
             this.machine = machines == 0 ? Resources.NONE : capacity.times(1.0 / machines);
             this.machines = machines;
-            this.images = images;
+            this.images = new HashMap<>(images);
             this.mostBytes = mostBytes;
             Arrays.fill(usedFrom, Resources.NONE);
         }
@@ -102,6 +103,12 @@
             return admittedRank;
         }
 
+        /** 0 where there is room next to a job's image, 1 where the image is, 2 elsewhere. */
+        private int imageGrade(Job job) {
+            Resources room = images.get(job.image());
+            return room == null ? 2 : job.each().fitsIn(room) ? 0 : 1;
+        }
+
         private Resources usedFrom(Rank rank) {
             return usedFrom[rank.ordinal()];
         }
@@ -124,6 +131,7 @@
             set.add(index);
             bytes += bytesFor(job, 1) - bytesFor(job, 0);
             use(job, 1);
+            images.computeIfPresent(job.image(), (image, room) -> room.minus(job.each()));
             if (admittedRank == null || job.rank().isAbove(admittedRank)) {
                 admittedRank = job.rank();
             }
@@ -246,7 +254,7 @@
             perZone.merge(block.zone, 1, Integer::sum);
             left--;
             if (!bound && hasRoom(job, 1, demand.isPressed(), block)) {
-                choices.add(new Choice(block, job, 0));
+                choices.add(new Choice(block, job, entersReserve(job, block), 0));
             }
         }
         return 0;
@@ -258,7 +266,8 @@
         for (Block block : blocks) {
             looks++;
             if (mayGo(job, block, perZone) && hasRoom(job, 1, demand.isPressed(), block)) {
-                choices.add(new Choice(block, job, job.spread() ? perZone.getOrDefault(block.zone, 0) : 0));
+                choices.add(new Choice(block, job, entersReserve(job, block),
+                        job.spread() ? perZone.getOrDefault(block.zone, 0) : 0));
             }
         }
         return choices;
@@ -270,16 +279,17 @@
         private final int grade;
         private final int inZone;
         private final int second;
-        private final double used;
+        private final double unused;
 
-        Choice(Block block, Job job, int inZone) {
+        Choice(Block block, Job job, boolean entersReserve, int inZone) {
             this.block = block;
             this.inZone = inZone;
-            this.used = block.usedFrom(Rank.LOW).shareOf(block.capacity);
             boolean wastesGpus = job.each().gpus() == 0 && block.capacity.gpus() > 0;
             boolean waits = !job.each().fitsIn(block.free());
-            this.grade = (wastesGpus ? 2 : 0) + (waits ? 1 : 0);
-            this.second = (block.images.contains(job.image()) ? 0 : 2) + (block.spot ? 0 : 1);
+            // Work crowds together where it fits: machines that nobody needs fall idle and can go back.
+            this.unused = -block.usedFrom(Rank.LOW).shareOf(block.capacity);
+            this.grade = (entersReserve ? 4 : 0) + (wastesGpus ? 2 : 0) + (waits ? 1 : 0);
+            this.second = 2 * block.imageGrade(job) + (block.spot ? 0 : 1);
         }
 
         @Override
@@ -293,7 +303,7 @@
             if (second != other.second) {
                 return Integer.compare(second, other.second);
             }
-            int byUse = Double.compare(used, other.used);
+            int byUse = Double.compare(unused, other.unused);
             return byUse != 0 ? byUse : block.id.compareTo(other.block.id);
         }
     }
@@ -309,7 +319,7 @@
             looks++;
             if (mayGo(job, block, Map.of()) && hasRoom(job, job.tasks(), demand.isPressed(), block)
                     && (!job.spread() || job.tasks() <= job.mostInOneZone())) {
-                Choice choice = new Choice(block, job, 0);
+                Choice choice = new Choice(block, job, false, 0);
                 best = best == null || choice.compareTo(best) < 0 ? choice : best;
             }
         }
@@ -332,6 +342,17 @@
         return !job.spread() || perZone.getOrDefault(block.zone, 0) < job.mostInOneZone();
     }
 
+    /** Whether a job that need not keep out of what is kept free would use it. */
+    private boolean entersReserve(Job job, Block block) {
+        Resources kept = Resources.NONE;
+        for (Reserve reserve : reserves.getOrDefault(block.id, List.of())) {
+            if (reserve.isBetterAvoided(job, block.machine)) {
+                kept = kept.plus(reserve.total());
+            }
+        }
+        return !job.each().fitsIn(block.capacity.minus(kept).minus(block.usedFrom(Rank.LOW)));
+    }
+
     private boolean hasRoom(Job job, int tasks, boolean mayPreempt, Block block) {
         if (block.machines == 0 || block.bytes + block.bytesFor(job, tasks) > block.mostBytes) {
             return false;
--- a/src/main/java/org/quincecross/sched/BlockScheduler.java
+++ b/src/main/java/org/quincecross/sched/BlockScheduler.java
@@ -1,6 +1,7 @@
 package org.quincecross.sched;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -30,6 +31,7 @@
     private final Map<MachineId, MachineQueue> machines = new LinkedHashMap<>();
     private final Map<Entry, MachineQueue> queueOf = new HashMap<>();
     private List<Reserve> reserves = List.of();
+    private int[] left = new int[0];
 
     public void addMachine(MachineId machine, Resources capacity, Predicate<String> hasImage) {
         machines.put(machine, new MachineQueue(machine, capacity, hasImage));
@@ -50,34 +52,51 @@
     /** Says what is to be kept free. */
     public void reserve(List<Reserve> toKeep) {
         reserves = toKeep;
+        left = new int[toKeep.size()];
+        recount();
     }
 
     /** Whether a task of {@code entry} would take a machine's room for what {@code reserve} is kept for. */
     private static boolean takes(Reserve reserve, MachineQueue machine, Entry entry) {
-        return reserve.keepsOut(entry.job(), machine.capacity()) && reserve.each().fitsIn(machine.free())
-                && !reserve.each().fitsIn(machine.free().minus(entry.job().each()));
+        return reserve.keepsOut(entry.job(), machine.capacity()) && breaksUp(reserve, machine, entry);
+    }
+
+    private static boolean breaksUp(Reserve reserve, MachineQueue machine, Entry entry) {
+        return reserve.each().fitsIn(machine.free()) && !reserve.each().fitsIn(machine.free().minus(entry.job().each()));
     }
 
     private boolean breaksUp(MachineQueue machine, Entry entry) {
-        return reserves.stream().anyMatch(reserve -> takes(reserve, machine, entry));
+        return reserves.stream().anyMatch(reserve -> breaksUp(reserve, machine, entry)
+                && (reserve.keepsOut(entry.job(), machine.capacity()) || reserve.isBetterAvoided(entry.job(), machine.capacity())));
     }
 
     private boolean mayStartOn(MachineQueue machine, Entry entry) {
         if (!machine.fitsNow(entry) || machine.fetchesForBetter(entry)) {
             return false;
         }
-        for (Reserve reserve : reserves) {
-            if (takes(reserve, machine, entry)) {
-                long left = machines.values().stream()
-                        .filter(other -> other.isOpen() && reserve.each().fitsIn(other.free())).count();
-                if (left <= reserve.machines()) {
-                    return false;
-                }
+        for (int i = 0; i < reserves.size(); i++) {
+            if (takes(reserves.get(i), machine, entry) && left(i) <= reserves.get(i).machines()) {
+                return false;
             }
         }
         return true;
     }
 
+    /** How many machines have the room that a reserve is kept for; counted anew only when something was started. */
+    private int left(int reserve) {
+        if (left[reserve] < 0) {
+            left[reserve] = 0;
+            for (MachineQueue machine : machines.values()) {
+                left[reserve] += machine.isOpen() && reserves.get(reserve).each().fitsIn(machine.free()) ? 1 : 0;
+            }
+        }
+        return left[reserve];
+    }
+
+    private void recount() {
+        Arrays.fill(left, -1);
+    }
+
     public Collection<MachineQueue> machines() {
         return machines.values();
     }
@@ -86,11 +105,15 @@
         return machines.get(machine);
     }
 
-    /** Says what a machine's tasks take now, and whether it may be given more. */
-    public void update(MachineId machine, Resources used, boolean open) {
+    /**
+     * Says what a machine's tasks take now, how much of it can be stopped in a moment for urgent work, and whether the
+     * machine may be given more.
+     */
+    public void update(MachineId machine, Resources used, Resources displaceable, boolean open) {
         MachineQueue queue = machines.get(machine);
-        queue.use(used);
+        queue.use(used, displaceable);
         queue.open(open);
+        recount();
     }
 
     /** Says which images a machine is fetching, and for work of which priority at the most. */
@@ -100,12 +123,7 @@
 
     /** Puts work into the queue of the machine where it starts soonest; false if no machine could ever run it. */
     public boolean enqueue(Entry entry) {
-        MachineQueue best = null;
-        for (MachineQueue machine : machines.values()) {
-            if (machine.canEver(entry) && (best == null || entryOrder(entry).compare(machine, best) < 0)) {
-                best = machine;
-            }
-        }
+        MachineQueue best = best(entry, machine -> machine.canEver(entry));
         if (best == null) {
             return false;
         }
@@ -114,6 +132,26 @@
         return true;
     }
 
+    private MachineQueue best(Entry entry, Predicate<MachineQueue> may) {
+        Comparator<MachineQueue> order = entryOrder(entry);
+        MachineQueue best = null;
+        for (MachineQueue machine : machines.values()) {
+            if (may.test(machine) && (best == null || order.compare(machine, best) < 0)) {
+                best = machine;
+            }
+        }
+        return best;
+    }
+
+    /** Has an entry wait for another machine: the one where room is being made for it. */
+    public void move(Entry entry, MachineId to) {
+        if (queueOf.get(entry) != machines.get(to)) {
+            remove(entry);
+            machines.get(to).add(entry);
+            queueOf.put(entry, machines.get(to));
+        }
+    }
+
     /** Which machine new work goes to: one that has room now, the image and the better fit, else the shortest queue. */
     private Comparator<MachineQueue> entryOrder(Entry entry) {
         return Comparator
@@ -146,6 +184,10 @@
     /** Decides what starts now. What is started counts as used and waits no more. */
     public List<Start> schedule(SteadyTime now) {
         List<Start> starts = new ArrayList<>();
+        if (queueOf.isEmpty()) {
+            return starts;
+        }
+        startUrgent(now, starts);
         Set<MachineId> kept = startGangs(now, starts);
         for (MachineQueue machine : machines.values()) {
             while (machine.isOpen() && !kept.contains(machine.machine()) && startLocally(machine, now, starts)) {
@@ -161,6 +203,28 @@
         return starts;
     }
 
+    /**
+     * Work of the highest priority does not wait for the turn of one machine: it starts wherever it fits best. Where a
+     * fetch of its image would make it late, it waits instead for room next to its image, if that can be made at once.
+     */
+    private void startUrgent(SteadyTime now, List<Start> starts) {
+        List<Entry> urgent = new ArrayList<>();
+        for (Entry entry : queueOf.keySet()) {
+            if (entry.job().rank() == Rank.PRODUCTION && !isGang(entry) && entry.isReady(now)) {
+                urgent.add(entry);
+            }
+        }
+        urgent.sort(Entry.ORDER);
+        for (Entry entry : urgent) {
+            MachineQueue best = best(entry, machine -> mayStartOn(machine, entry));
+            boolean betterElsewhere = best != null && entry.avoidsFetch() && !best.hasImage(entry)
+                    && machines.values().stream().anyMatch(machine -> machine.hasImage(entry) && machine.couldFit(entry));
+            if (best != null && !betterElsewhere) {
+                start(entry, List.of(best), starts);
+            }
+        }
+    }
+
     private void start(Entry entry, List<MachineQueue> on, List<Start> starts) {
         remove(entry);
         List<MachineId> ids = new ArrayList<>();
@@ -168,6 +232,7 @@
             machine.occupy(entry.job().each());
             ids.add(machine.machine());
         }
+        recount();
         starts.add(new Start(entry, ids));
     }
 
@@ -239,16 +304,16 @@
      */
     private boolean startLocally(MachineQueue machine, SteadyTime now, List<Start> starts) {
         Entry head = machine.head(now);
-        if (head == null) {
+        if (head == null || !machine.mayFitAny()) {
             return false;
         }
-        if (!isGang(head) && mayStartOn(machine, head)) {
+        if (!isGang(head) && !isHeldBack(head) && mayStartOn(machine, head)) {
             start(head, List.of(machine), starts);
             return true;
         }
         Entry best = null;
         for (Entry entry : machine.waiting()) {
-            if (entry != head && !isGang(entry) && entry.isReady(now) && entry.counter() >= head.counter()
+            if (entry != head && !isGang(entry) && !isHeldBack(entry) && entry.isReady(now) && entry.counter() >= head.counter()
                     && mayStartOn(machine, entry) && (best == null || better(machine, entry, best))) {
                 best = entry;
             }
@@ -261,6 +326,11 @@
         return true;
     }
 
+    /** Urgent work is placed by {@link #startUrgent} alone. */
+    private static boolean isHeldBack(Entry entry) {
+        return entry.job().rank() == Rank.PRODUCTION;
+    }
+
     /** The higher priority, then the least BM times FM. */
     private static boolean better(MachineQueue machine, Entry one, Entry other) {
         int byRank = one.job().rank().compareTo(other.job().rank());
@@ -279,15 +349,22 @@
      * queue takes any that fits.
      */
     private boolean pull(MachineQueue asker, SteadyTime now, List<Start> starts) {
+        if (!asker.mayFitAny()) {
+            return false;
+        }
         Entry head = asker.head(now);
-        List<MachineQueue> neighbours = new ArrayList<>(machines.values());
-        neighbours.remove(asker);
+        List<MachineQueue> neighbours = new ArrayList<>();
+        for (MachineQueue machine : machines.values()) {
+            if (machine != asker && !machine.waiting().isEmpty()) {
+                neighbours.add(machine);
+            }
+        }
         neighbours.sort(Comparator.comparing((MachineQueue machine) -> -machine.waiting().size())
                 .thenComparing(MachineQueue::machine));
         for (MachineQueue neighbour : neighbours) {
             Entry best = null;
             for (Entry entry : neighbour.waiting()) {
-                if (!isGang(entry) && entry.isReady(now) && mayStartOn(asker, entry)
+                if (!isGang(entry) && !isHeldBack(entry) && entry.isReady(now) && mayStartOn(asker, entry)
                         && (head == null || entry.counter() <= head.counter())
                         && (best == null || better(asker, entry, best))) {
                     best = entry;
--- a/src/main/java/org/quincecross/sched/Entry.java
+++ b/src/main/java/org/quincecross/sched/Entry.java
@@ -13,7 +13,7 @@
 /** What waits in a queue: a task, or all tasks of a gang. */
 public final class Entry {
     /** Priority comes before age: the queues of the paper are first come, first served within a priority. */
-    static final Comparator<Entry> ORDER = Comparator
+    public static final Comparator<Entry> ORDER = Comparator
             .comparing((Entry entry) -> entry.job.rank()).reversed()
             .thenComparing(entry -> entry.accepted)
             .thenComparing(entry -> entry.tasks.get(0));
@@ -23,6 +23,7 @@
     private final Revision accepted;
     private final Set<MachineId> avoided = new HashSet<>();
     private int counter;
+    private boolean avoidsFetch;
     private SteadyTime notBefore;
 
     public Entry(Job job, List<TaskId> tasks, Revision accepted) {
@@ -53,6 +54,15 @@
         return avoided;
     }
 
+    /** Says that a fetch of its image would make it late: it rather displaces other work where its image is. */
+    public void avoidFetch() {
+        avoidsFetch = true;
+    }
+
+    boolean avoidsFetch() {
+        return avoidsFetch;
+    }
+
     /** Keeps the entry from starting before {@code time}. */
     public void holdBack(SteadyTime time) {
         notBefore = time;
--- a/src/main/java/org/quincecross/sched/MachineQueue.java
+++ b/src/main/java/org/quincecross/sched/MachineQueue.java
@@ -16,8 +16,11 @@
     private final Resources capacity;
     private final Predicate<String> hasImage;
     private final List<Entry> queue = new ArrayList<>();
+    private final List<Entry> unmodifiable = Collections.unmodifiableList(queue);
     private Resources used = Resources.NONE;
+    private Resources queued = Resources.NONE;
     private Map<String, Rank> fetching = Map.of();
+    private Resources displaceable = Resources.NONE;
     private boolean open;
 
     MachineQueue(MachineId machine, Resources capacity, Predicate<String> hasImage) {
@@ -67,8 +70,14 @@
                 && fetch.getValue().isAbove(entry.job().rank()));
     }
 
-    void use(Resources now) {
+    void use(Resources now, Resources displaceableNow) {
         used = now;
+        displaceable = displaceableNow;
+    }
+
+    /** Whether an urgent entry would fit once work that can be stopped in a moment has been. */
+    boolean couldFit(Entry entry) {
+        return open && !entry.avoided().contains(machine) && entry.job().each().fitsIn(free().plus(displaceable));
     }
 
     void occupy(Resources more) {
@@ -77,16 +86,25 @@
 
     /** The waiting work, first in line first. */
     public List<Entry> waiting() {
-        return Collections.unmodifiableList(queue);
+        return unmodifiable;
     }
 
     void add(Entry entry) {
         int at = Collections.binarySearch(queue, entry, Entry.ORDER);
         queue.add(at < 0 ? -at - 1 : at, entry);
+        countQueued();
     }
 
-    boolean remove(Entry entry) {
-        return queue.remove(entry);
+    void remove(Entry entry) {
+        queue.remove(entry);
+        countQueued();
+    }
+
+    private void countQueued() {
+        queued = Resources.NONE;
+        for (Entry entry : queue) {
+            queued = queued.plus(entry.job().each().times(entry.tasks().size()));
+        }
     }
 
     /** The first in line that may start now, or null. */
@@ -107,6 +125,12 @@
         return open && entry.job().each().fitsIn(free()) && !entry.avoided().contains(machine);
     }
 
+    /** Whether there is room for any work at all. */
+    boolean mayFitAny() {
+        Resources free = free();
+        return free.cpus() > 0 && free.memoryGb() > 0;
+    }
+
     boolean hasImage(Entry entry) {
         return hasImage.test(entry.job().image());
     }
@@ -117,11 +141,7 @@
 
     /** The paper's normalized load (equations 4 and 5): the largest sum of what the waiting work asks for. */
     double load() {
-        Resources sum = Resources.NONE;
-        for (Entry entry : queue) {
-            sum = sum.plus(entry.job().each().times(entry.tasks().size()));
-        }
-        return sum.shareOf(capacity);
+        return queued.shareOf(capacity);
     }
 
     /** Work was started past the entries ahead of it: each of them has been passed once more. */
--- a/src/main/java/org/quincecross/sched/Preemption.java
+++ b/src/main/java/org/quincecross/sched/Preemption.java
@@ -2,53 +2,100 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import org.quincecross.model.MachineId;
 import org.quincecross.model.Rank;
 import org.quincecross.model.Resources;
 import org.quincecross.model.SteadyTime;
 import org.quincecross.model.TaskId;
 
-/** Chooses what is stopped so that work of a higher priority gets room. */
+/**
+ * Chooses what is stopped so that work of a higher priority gets room: one round, in which room that is being made
+ * already, or is promised to an earlier entry of the round, is not counted twice.
+ */
 public final class Preemption {
     /** A task that takes up room and could be stopped. */
     public record Running(TaskId task, MachineId machine, Rank rank, Resources each, boolean saves, SteadyTime since) {
     }
 
-    private Preemption() {
+    private final BlockScheduler block;
+    private final Map<MachineId, List<Running>> running = new HashMap<>();
+    private final Map<MachineId, Resources> room = new HashMap<>();
+    private final Rank lowest;
+
+    /**
+     * @param tasks what runs and could be stopped
+     * @param stopping what the tasks take that are being stopped on each machine
+     */
+    public Preemption(BlockScheduler block, List<Running> tasks, Map<MachineId, Resources> stopping) {
+        this.block = block;
+        Rank least = Rank.PRODUCTION;
+        for (Running task : tasks) {
+            running.computeIfAbsent(task.machine(), id -> new ArrayList<>()).add(task);
+            least = least.isAbove(task.rank()) ? task.rank() : least;
+        }
+        lowest = least;
+        for (MachineQueue machine : block.machines()) {
+            room.put(machine.machine(), machine.free().plus(stopping.getOrDefault(machine.machine(), Resources.NONE)));
+        }
     }
 
     /**
-     * The tasks to stop on one machine so that {@code entry} fits there, or null if no machine can be made to fit it.
-     * The machine that loses least is chosen; on it the lowest priority goes first, then what saves its progress, then
-     * what was started last.
+     * The tasks to stop so that {@code entry} fits on a machine; none if room is being made for it already, or if no
+     * machine can be made to fit it. The entry then waits for that machine. A machine with its image is preferred, then the one that loses least; there the
+     * lowest priority goes first, then what saves its progress, then what was started last.
      */
-    public static List<Running> choose(BlockScheduler block, Entry entry, List<Running> running) {
-        List<Running> best = null;
+    public List<Running> makeRoom(Entry entry) {
+        MachineQueue best = null;
+        List<Running> bestVictims = null;
         for (MachineQueue machine : block.machines()) {
             if (!machine.isOpen() || !machine.canEver(entry) || entry.avoided().contains(machine.machine())) {
                 continue;
             }
-            List<Running> victims = onMachine(machine, entry, running);
-            if (victims != null && (best == null || loss(victims) < loss(best))) {
-                best = victims;
+            List<Running> victims = onMachine(machine, entry);
+            if (victims != null && (best == null || cost(machine, entry, victims) < cost(best, entry, bestVictims))) {
+                best = machine;
+                bestVictims = victims;
             }
         }
-        return best;
+        if (best == null) {
+            return List.of();
+        }
+        Resources left = room.get(best.machine()).minus(entry.job().each());
+        for (Running victim : bestVictims) {
+            left = left.plus(victim.each());
+            running.get(best.machine()).remove(victim);
+        }
+        room.put(best.machine(), left);
+        block.move(entry, best.machine());
+        return bestVictims;
     }
 
-    private static double loss(List<Running> victims) {
-        double loss = 0;
+    /** A fetch takes longer than most of what a victim loses. */
+    private static final double FETCH = 1000;
+
+    private static double cost(MachineQueue machine, Entry entry, List<Running> victims) {
+        double cost = machine.hasImage(entry) ? 0 : FETCH;
         for (Running victim : victims) {
-            loss += victim.each().cpus() * (victim.saves() ? 1 : 3) * (1 + victim.rank().ordinal());
+            cost += victim.each().cpus() * (victim.saves() ? 1 : 3) * (1 + victim.rank().ordinal());
         }
-        return loss;
+        return cost;
     }
 
-    private static List<Running> onMachine(MachineQueue machine, Entry entry, List<Running> running) {
+    /** What would have to be stopped on a machine, or null if that would not be enough. */
+    private List<Running> onMachine(MachineQueue machine, Entry entry) {
+        Resources free = room.get(machine.machine());
+        if (entry.job().each().fitsIn(free)) {
+            return List.of();
+        }
+        if (!entry.job().rank().isAbove(lowest)) {
+            return null;
+        }
         List<Running> stoppable = new ArrayList<>();
-        for (Running task : running) {
-            if (task.machine().equals(machine.machine()) && entry.job().rank().isAbove(task.rank())) {
+        for (Running task : running.getOrDefault(machine.machine(), List.of())) {
+            if (entry.job().rank().isAbove(task.rank())) {
                 stoppable.add(task);
             }
         }
@@ -56,14 +103,13 @@
                 .thenComparing(task -> !task.saves())
                 .thenComparing(Running::since, Comparator.reverseOrder()));
         List<Running> victims = new ArrayList<>();
-        Resources room = machine.free();
         for (Running task : stoppable) {
-            if (entry.job().each().fitsIn(room)) {
+            if (entry.job().each().fitsIn(free)) {
                 break;
             }
             victims.add(task);
-            room = room.plus(task.each());
+            free = free.plus(task.each());
         }
-        return entry.job().each().fitsIn(room) ? victims : null;
+        return entry.job().each().fitsIn(free) ? victims : null;
     }
 }
--- a/src/main/java/org/quincecross/sched/Reserve.java
+++ b/src/main/java/org/quincecross/sched/Reserve.java
@@ -28,11 +28,17 @@
     /** Whether a job has to keep out of the room, on machines of this capacity. */
     public boolean keepsOut(Job job, Resources capacity) {
         return switch (purpose) {
-            case LARGE_WORK -> !isLarge(job, capacity);
+            // Urgent work prefers other room, but does not wait for the sake of work that is less urgent.
+            case LARGE_WORK -> !isLarge(job, capacity) && job.rank() != Rank.PRODUCTION;
             case URGENT_WORK -> job.rank() != Rank.PRODUCTION && !isLarge(job, capacity);
         };
     }
 
+    /** Whether a job, though it may use the room, should rather go elsewhere. */
+    public boolean isBetterAvoided(Job job, Resources capacity) {
+        return purpose == Purpose.LARGE_WORK && !isLarge(job, capacity);
+    }
+
     /** What all that is kept comes to. */
     public Resources total() {
         return each.times(machines);
--- a/src/main/java/org/quincecross/state/Foresight.java
+++ b/src/main/java/org/quincecross/state/Foresight.java
@@ -22,6 +22,8 @@
     private static final Span REMEMBERED = Span.ofSeconds(300);
     /** Whole machines kept beyond those that waiting work needs, as long as such work is about. */
     private static final int SPARE = 2;
+    /** For so many machines, room for one more task of the highest priority is kept. */
+    private static final int MACHINES_PER_ROOM = 6;
     private static final Span LOOK_EVERY = Span.ofMillis(400);
 
     private record Kind(String type, boolean spot) {
@@ -111,7 +113,7 @@
         reserves.computeIfAbsent(block.id(), id -> new ArrayList<>()).add(reserve);
     }
 
-    /** Every block of some size on ordinary machines keeps room for one more service. */
+    /** Every block of some size on ordinary machines keeps room for more services. */
     private void keepForUrgent(SteadyTime now) {
         if (urgent == null || now.since(urgent.at()).isMoreThan(REMEMBERED)) {
             return;
@@ -120,7 +122,8 @@
             MachineType type = ledger.types().get(block.type());
             boolean small = type != null && urgent.each().fitsIn(type.capacity()) && type.capacity().gpus() == 0;
             if (!block.spot() && small && block.machines().size() >= 3) {
-                keep(block, new Reserve(Reserve.Purpose.URGENT_WORK, urgent.each(), 1));
+                int rooms = (block.machines().size() + MACHINES_PER_ROOM - 1) / MACHINES_PER_ROOM;
+                keep(block, new Reserve(Reserve.Purpose.URGENT_WORK, urgent.each(), rooms));
             }
         }
     }
--- a/src/main/java/org/quincecross/state/JobRecord.java
+++ b/src/main/java/org/quincecross/state/JobRecord.java
@@ -1,5 +1,7 @@
 package org.quincecross.state;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import org.quincecross.model.Job;
 import org.quincecross.model.JobId;
@@ -14,10 +16,10 @@
  * A job as the state service has it.
  *
  * @param job null once the job is done: only its end is still asked for
- * @param acceptedMs the time of day at which it was accepted
+ * @param acceptedMs the time of day at which it was accepted; {@code cancelledMs}: at which it was cancelled, or 0
  * @param version while the job is open, also its place among the accepted jobs
  */
-public record JobRecord(JobId id, Job job, JobPhase phase, long acceptedMs, Revision version) {
+public record JobRecord(JobId id, Job job, JobPhase phase, long acceptedMs, long cancelledMs, Revision version) {
 
     static JobRecord read(JobId id, Object value, Revision version) throws BadMessage {
         Fields in = Fields.of(value, "a job record");
@@ -26,7 +28,23 @@
         if (phase == JobPhase.OPEN && job == null) {
             throw new BadMessage("an open job without its description");
         }
-        return new JobRecord(id, job, phase, in.has("at") ? in.unsigned("at") : 0, version);
+        return new JobRecord(id, job, phase, in.has("at") ? in.unsigned("at") : 0,
+                in.has("cancelled") ? in.unsigned("cancelled") : 0, version);
+    }
+
+    /** Several jobs accepted in one change. */
+    public static Map<String, Object> bundle(List<Map<String, Object>> open) {
+        return Json.object("jobs", open);
+    }
+
+    /** The jobs of a bundle, as they were when they were accepted. */
+    static List<JobRecord> readBundle(Object value, Revision version) throws BadMessage {
+        List<JobRecord> records = new ArrayList<>();
+        for (Fields in : Fields.of(value, "a bundle").objects("jobs")) {
+            Job job = JobCodec.read(in.fields("job"));
+            records.add(new JobRecord(job.id(), job, JobPhase.OPEN, in.unsigned("at"), 0, version));
+        }
+        return records;
     }
 
     public static Map<String, Object> open(Job job, long acceptedMs) {
@@ -39,7 +57,7 @@
     }
 
     /** A cancelled job's tasks count until they are gone, so its description stays. */
-    public Map<String, Object> cancelled() {
-        return Json.object("phase", "cancelled", "at", acceptedMs, "job", JobCodec.write(job));
+    public Map<String, Object> cancelled(long nowMs) {
+        return Json.object("phase", "cancelled", "at", acceptedMs, "cancelled", nowMs, "job", JobCodec.write(job));
     }
 }
--- a/src/main/java/org/quincecross/state/Keys.java
+++ b/src/main/java/org/quincecross/state/Keys.java
@@ -3,6 +3,7 @@
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import org.quincecross.model.BlockId;
+import org.quincecross.model.Incarnation;
 import org.quincecross.model.JobId;
 import org.quincecross.model.MemberId;
 
@@ -14,6 +15,7 @@
     public static final String OPERATOR_SETTINGS = ROOT + "settings";
     static final String MEMBERS = ROOT + "member/";
     static final String JOBS = ROOT + "job/";
+    static final String BUNDLES = ROOT + "bundle/";
     static final String DONE = ROOT + "done/";
     static final String PAGES = ROOT + "page/";
     static final String BLOCKS = ROOT + "block/";
@@ -31,6 +33,11 @@
         return JOBS + job.text();
     }
 
+    /** A record of several accepted jobs; no two have the same name. */
+    public static String bundle(MemberId member, Incarnation life, long number) {
+        return BUNDLES + safe(member.text()) + "-" + life + "-" + number;
+    }
+
     /** The record of which tasks of a job are done, for the tasks of one chunk. */
     public static String done(JobId job, int chunk) {
         return DONE + job.text() + "/" + chunk;
--- a/src/main/java/org/quincecross/state/Ledger.java
+++ b/src/main/java/org/quincecross/state/Ledger.java
@@ -42,6 +42,7 @@
     private final Map<JobId, JobRecord> jobs = new HashMap<>();
     private final TreeSet<JobRecord> open = new TreeSet<>(
             Comparator.comparing(JobRecord::version).thenComparing(JobRecord::id));
+    private final Map<String, List<JobId>> bundles = new HashMap<>();
     private final Map<JobId, Map<Integer, TaskSet>> done = new HashMap<>();
     private final Map<Integer, Map<JobId, TaskSet>> pages = new TreeMap<>();
     private final Map<JobId, TaskSet> paged = new HashMap<>();
@@ -91,6 +92,17 @@
         return jobs.size();
     }
 
+    /** The bundles of accepted jobs of which every job has a record of its own by now. */
+    public List<String> spentBundles() {
+        List<String> spent = new ArrayList<>();
+        bundles.forEach((key, ids) -> {
+            if (ids.stream().allMatch(id -> versions.containsKey(Keys.job(id)))) {
+                spent.add(key);
+            }
+        });
+        return spent;
+    }
+
     /** The open jobs, first accepted first. */
     public Iterable<JobRecord> openJobs() {
         return open;
@@ -218,6 +230,8 @@
         try {
             if (key.startsWith(Keys.JOBS)) {
                 putJob(key.substring(Keys.JOBS.length()), value, version);
+            } else if (key.startsWith(Keys.BUNDLES)) {
+                putBundle(key, value, version);
             } else if (key.startsWith(Keys.DONE)) {
                 putDone(key.substring(Keys.DONE.length()), value);
             } else if (key.startsWith(Keys.PAGES)) {
@@ -247,7 +261,30 @@
         if (id == null || value == null) {
             return;
         }
-        JobRecord record = JobRecord.read(id, value, version);
+        putRecord(JobRecord.read(id, value, version));
+    }
+
+    /**
+     * Jobs accepted together. A job may have been accepted twice, by two controllers that did not know of each other:
+     * then the first counts, and a record of its own before any bundle.
+     */
+    private void putBundle(String key, Object value, Revision version) throws BadMessage {
+        if (value == null) {
+            bundles.remove(key); // the leader deletes a bundle once each of its jobs has a record of its own
+            return;
+        }
+        List<JobRecord> records = JobRecord.readBundle(value, version);
+        bundles.put(key, records.stream().map(JobRecord::id).toList());
+        for (JobRecord record : records) {
+            JobRecord known = jobs.get(record.id());
+            if (known == null || !versions.containsKey(Keys.job(record.id())) && known.version().isAfter(version)) {
+                putRecord(record);
+            }
+        }
+    }
+
+    private void putRecord(JobRecord record) {
+        JobId id = record.id();
         JobRecord before = jobs.put(id, record);
         if (before != null && before.phase() == JobPhase.OPEN) {
             open.remove(before);
--- a/src/main/java/org/quincecross/wire/Settings.java
+++ b/src/main/java/org/quincecross/wire/Settings.java
@@ -10,11 +10,16 @@
 import org.quincecross.model.Span;
 import org.quincecross.model.Team;
 
-/** The settings file that the platform hands to every controller. */
+/**
+ * The settings file that the platform hands to every controller.
+ *
+ * @param clockBound how far the time of day may be from true time
+ */
 public record Settings(
         MemberId member, String zone, Endpoint listen, Endpoint peerListen, List<Sibling> siblings,
         Endpoint cloud, Endpoint state, List<String> zones, Map<String, Team> teams, List<Objective> objectives,
-        Workers workers, StateLimits stateLimits, CloudLimits cloudLimits, Quota quota) {
+        Workers workers, StateLimits stateLimits, CloudLimits cloudLimits, Span clockBound, Quota quota) {
+    private static final double DEFAULT_TIME_BOUND_MS = 2000;
 
     /** Another controller. */
     public record Sibling(MemberId member, String zone, Endpoint endpoint) {
@@ -75,6 +80,7 @@
                 new StateLimits(state.positive("rps"), state.positive("write_rps"),
                         (int) (state.positive("value_kb") * 1024), state.count("txn_ops", 1, 100_000)),
                 new CloudLimits(cloud.positive("rps"), Span.ofSeconds(cloud.amount("list_lag_s"))),
+                Span.ofSeconds((params.has("time_bound_ms") ? params.amount("time_bound_ms") : DEFAULT_TIME_BOUND_MS) / 1000),
                 new Quota(quota.positive("cpu"), quota.positive("ram_mb"), quota.count("fd_limit", 16, 10_000_000)));
     }
 
--- a/src/test/java/org/quincecross/peer/PeerCodecTest.java
+++ b/src/test/java/org/quincecross/peer/PeerCodecTest.java
@@ -40,7 +40,7 @@
         return Combinators.combine(names, Arbitraries.longs().between(1, Long.MAX_VALUE), blocks.list().ofMaxSize(4), names.map(MachineId::new).list().ofMaxSize(3))
                 .as((name, number, list, strays) -> new PeerReport(new MemberId(name), new Incarnation(number), number,
                         number / 2, Map.of(new MemberId(name), new PeerReport.Receipt(new Incarnation(number), number, true)),
-                        new Span(number), list, strays));
+                        new Revision(number), new Span(number), list, strays));
     }
 
     @Property(tries = 200, seed = "6")
--- a/src/test/java/org/quincecross/sched/AdmissionTest.java
+++ b/src/test/java/org/quincecross/sched/AdmissionTest.java
@@ -7,7 +7,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
 import net.jqwik.api.Combinators;
@@ -48,7 +47,7 @@
             for (boolean spot : new boolean[] {true, false}) {
                 BlockId id = new BlockId(zone + spot);
                 zoneOf.put(id, zone);
-                blocks.add(new Admission.Block(id, "m", zone, spot, new Resources(16, 0, 64), 2, Set.of(), 4000));
+                blocks.add(new Admission.Block(id, "m", zone, spot, new Resources(16, 0, 64), 2, Map.of(), 4000));
             }
         }
         List<Admission.Demand> demands = new ArrayList<>();
--- a/src/test/java/org/quincecross/sched/BlockSchedulerTest.java
+++ b/src/test/java/org/quincecross/sched/BlockSchedulerTest.java
@@ -45,7 +45,7 @@
         BlockScheduler block = new BlockScheduler();
         for (int i = 0; i < machines; i++) {
             block.addMachine(new MachineId("m" + i), MACHINE, image -> false);
-            block.update(new MachineId("m" + i), Resources.NONE, true);
+            block.update(new MachineId("m" + i), Resources.NONE, Resources.NONE, true);
         }
         return block;
     }
@@ -53,7 +53,7 @@
     @Example
     void aTaskThatPassesOthersCountsThemUp() {
         BlockScheduler block = block(1);
-        block.update(new MachineId("m0"), new Resources(6, 0, 0), true);
+        block.update(new MachineId("m0"), new Resources(6, 0, 0), Resources.NONE, true);
         Entry wide = entry(1, 8, 1);
         Entry alsoWide = entry(2, 4, 1);
         Entry narrow = entry(3, 2, 1);
@@ -66,13 +66,13 @@
     @Example
     void nothingPassesAHeadWithAHigherCounter() {
         BlockScheduler block = block(1);
-        block.update(new MachineId("m0"), new Resources(6, 0, 0), true);
+        block.update(new MachineId("m0"), new Resources(6, 0, 0), Resources.NONE, true);
         Entry wide = entry(1, 8, 1);
         block.enqueue(wide);
         block.enqueue(entry(2, 2, 1));
         block.schedule(NOW);
         assertEquals(1, wide.counter());
-        block.update(new MachineId("m0"), new Resources(6, 0, 0), true);
+        block.update(new MachineId("m0"), new Resources(6, 0, 0), Resources.NONE, true);
         block.enqueue(entry(3, 2, 1));
         assertTrue(block.schedule(NOW).isEmpty(), "the counter of a newcomer is less than the head's");
     }
@@ -80,7 +80,7 @@
     @Example
     void theBetterBalanceStartsFirst() {
         BlockScheduler block = block(1);
-        block.update(new MachineId("m0"), new Resources(4, 0, 0), true);
+        block.update(new MachineId("m0"), new Resources(4, 0, 0), Resources.NONE, true);
         Entry head = entry(1, 8, 1);
         Entry lopsided = entry(2, 3, 1);
         Entry balanced = entry(3, 3, 28);
@@ -91,12 +91,12 @@
     @Example
     void aFreeMachinePullsFromTheLongestQueue() {
         BlockScheduler block = block(2);
-        block.update(new MachineId("m1"), MACHINE, false);
+        block.update(new MachineId("m1"), MACHINE, Resources.NONE, false);
         for (int i = 0; i < 6; i++) {
             block.enqueue(entry(i, 8, 1));
         }
-        block.update(new MachineId("m0"), MACHINE, true);
-        block.update(new MachineId("m1"), Resources.NONE, true);
+        block.update(new MachineId("m0"), MACHINE, Resources.NONE, true);
+        block.update(new MachineId("m1"), Resources.NONE, Resources.NONE, true);
         List<BlockScheduler.Start> starts = block.schedule(NOW);
         assertEquals(List.of(new MachineId("m1")), starts.get(0).machines());
     }
@@ -107,9 +107,9 @@
         Job job = job(1, Shape.GANG, Rank.NORMAL, 3, 6, 1);
         Entry gang = new Entry(job, IntStream.range(0, 3).mapToObj(job.id()::task).toList(), new Revision(1));
         block.enqueue(gang);
-        block.update(new MachineId("m2"), new Resources(4, 0, 0), true);
+        block.update(new MachineId("m2"), new Resources(4, 0, 0), Resources.NONE, true);
         assertTrue(block.schedule(NOW).isEmpty());
-        block.update(new MachineId("m2"), Resources.NONE, true);
+        block.update(new MachineId("m2"), Resources.NONE, Resources.NONE, true);
         List<BlockScheduler.Start> starts = block.schedule(NOW);
         assertEquals(3, starts.get(0).machines().size());
     }
@@ -117,7 +117,7 @@
     @Example
     void smallTasksDoNotStarveAGang() {
         BlockScheduler block = block(1);
-        block.update(new MachineId("m0"), new Resources(4, 0, 0), true);
+        block.update(new MachineId("m0"), new Resources(4, 0, 0), Resources.NONE, true);
         Job job = job(1, Shape.GANG, Rank.NORMAL, 1, 8, 1);
         block.enqueue(new Entry(job, List.of(job.id().task(0)), new Revision(1)));
         block.enqueue(entry(2, 2, 1));
@@ -170,7 +170,7 @@
                 default -> {
                     for (int i = 0; i < 4; i++) {
                         MachineId machine = new MachineId("m" + i);
-                        block.update(machine, used.getOrDefault(machine, Resources.NONE), i != step.number());
+                        block.update(machine, used.getOrDefault(machine, Resources.NONE), Resources.NONE, i != step.number());
                     }
                     for (BlockScheduler.Start start : block.schedule(NOW)) {
                         assertTrue(waiting.remove(start.entry()), "started once");
--- a/src/test/java/org/quincecross/world/VirtualWorker.java
+++ b/src/test/java/org/quincecross/world/VirtualWorker.java
@@ -249,11 +249,11 @@
                 if (job.shape() != Shape.SERVICE) {
                     after(job.estimate().seconds(), () -> {
                         if (tasks.get(id) == task && !task.isOver()) {
-                            for (int i = 0; job.shape() == Shape.GANG && i < job.tasks(); i++) {
-                                world.rules().completed(job.id().task(i));
+                            if (job.shape() == Shape.GANG) {
+                                world.completeGang(job, attempt);
+                            } else {
+                                complete(id, attempt);
                             }
-                            exit(id, task, "done");
-                            world.rules().completed(id);
                         }
                     });
                 }
@@ -261,6 +261,15 @@
         });
     }
 
+    /** The task, if it is here with this attempt, is done. */
+    void complete(TaskId id, long attempt) {
+        Task task = tasks.get(id);
+        if (task != null && task.attempt == attempt && !task.isOver()) {
+            exit(id, task, "done");
+        }
+        world.rules().completed(id);
+    }
+
     private void exit(TaskId id, Task task, String cause) {
         task.state = "exited";
         task.cause = cause;
--- a/src/test/java/org/quincecross/world/World.java
+++ b/src/test/java/org/quincecross/world/World.java
@@ -136,7 +136,7 @@
         return new Settings(new MemberId(nodeName(node)), ZONES.get(node % 2), listen(node), listen(node), siblings, CLOUD, STATE,
                 ZONES, teams, List.of(), new Settings.Workers(Span.ofSeconds(REPORT_S), Span.ofSeconds(LEASE_S),
                         Span.ofSeconds(35), Span.ofSeconds(8), Span.ofSeconds(CANCEL_S)),
-                new Settings.StateLimits(200, 40, 4096, 8), new Settings.CloudLimits(4, Span.ofSeconds(2)),
+                new Settings.StateLimits(200, 40, 4096, 8), new Settings.CloudLimits(4, Span.ofSeconds(2)), Span.ofSeconds(1),
                 new Settings.Quota(0.5, 200, 1000));
     }
 
@@ -208,6 +208,15 @@
         return id;
     }
 
+    /** A gang completes together. */
+    void completeGang(Job job, long attempt) {
+        for (VirtualWorker worker : workers.values()) {
+            for (int i = 0; i < job.tasks(); i++) {
+                worker.complete(job.id().task(i), attempt);
+            }
+        }
+    }
+
     /** Takes a machine back without notice. */
     void take(MachineId id) {
         VirtualWorker worker = workers.remove(id);
