--- a/src/main/java/org/quincecross/api/Controller.java
+++ b/src/main/java/org/quincecross/api/Controller.java
@@ -283,14 +283,7 @@
 
     @Override
     public Span startWithin(String jobClass) {
-        Span least = null;
-        for (Settings.Objective objective : settings.objectives()) {
-            if (objective.kind().equals("wait") && jobClass.equals(objective.jobClass()) && objective.within() != null
-                    && (least == null || least.isMoreThan(objective.within()))) {
-                least = objective.within();
-            }
-        }
-        return least;
+        return settings.startWithin(jobClass);
     }
 
     @Override
--- a/src/main/java/org/quincecross/block/BlockHolder.java
+++ b/src/main/java/org/quincecross/block/BlockHolder.java
@@ -444,7 +444,11 @@
                 session.fetched(placement.job().image());
             }
             if (ours || placement.state() == Placement.State.UNSETTLED) {
+                boolean ran = placement.isRunning();
                 placement.reported(machine, piece.attempt(), hasImage && piece.state() != TaskState.WAITING, now);
+                if (!ran && placement.isRunning()) {
+                    LOG.debug("block {}: {} runs on {}", id(), placement.task(), machine);
+                }
                 if (placement.isRunning() && now.since(placement.runningSince()).isMoreThan(Span.ofSeconds(10))) {
                     session.failures().remove(placement.task().job());
                     succeeded.add(placement.task().job());
@@ -481,6 +485,7 @@
             placement.failed();
         }
         placement.gone(now);
+        LOG.debug("block {}: {} has left {}, {}", id(), placement.task(), machine, piece.cause());
         if (placement.state() == Placement.State.RELEASED) {
             context.newsForLeader();
         }
@@ -637,6 +642,8 @@
                 Placement placement = placements.get(start.entry().tasks().get(i));
                 MachineId machine = start.machines().get(i);
                 placement.start(machine, attempt, now);
+                LOG.debug("block {}: {} starts on {}, image {}", id(), placement.task(), machine,
+                        sessions.get(machine).hasImage(placement.job().image()) ? "there" : "to be fetched");
                 // The machine fetches the image for all tasks that need it, so the next of them is at home there too.
                 sessions.get(machine).usedImage(placement.job().image(), placement.job().imageGb());
             }
@@ -875,6 +882,7 @@
             }
         }
         session.directSent(starts);
+        LOG.debug("block {}: {} commands to {}", id(), orders.size(), session.machine().id());
         HttpRequest request = HttpRequest.post(WorkerCodec.ORDERS,
                 WorkerCodec.writeDirect(sentWith, session.report().session(), orders));
         context.http().call(session.machine().address(), request, DIRECT_TIMEOUT,
@@ -884,6 +892,7 @@
     private void directEnded(Session session, Set<Attempt> starts, Token sentWith, HttpOutcome outcome) {
         WorkerReport report = readReport(outcome);
         if (report == null) {
+            LOG.debug("block {}: no answer from {}, status {}", id(), session.machine().id(), outcome.status());
             boolean mayHaveArrived = outcome.sent() && sentWith.equals(token());
             session.directFailed(starts, mayHaveArrived, context.now().plus(DIRECT_RETRY));
             return;
@@ -981,7 +990,7 @@
                     && placement.isRunning() && now.since(placement.runningSince()).isMoreThan(MOVABLE_AFTER);
         }
         Span silent = now.since(session.heard());
-        return new PeerReport.MachineState(id, session.capacity().minus(used(session)),
+        return new PeerReport.MachineState(id, session.capacity().minus(used(session)), displaceable(id),
                 silent.isMoreThan(quiet(context.workers())) ? Span.ofSeconds(Math.floor(silent.seconds())) : Span.ZERO,
                 isOpen(session), session.state() == Session.State.FENCED, session.hasNotice(), session.isSick(), movable,
                 tasks, scheduler.machine(id).waiting().size(), session.images(), List.copyOf(inUse));
--- a/src/main/java/org/quincecross/leader/Books.java
+++ b/src/main/java/org/quincecross/leader/Books.java
@@ -41,6 +41,7 @@
     private final Map<BlockId, Map<JobId, TaskSet>> allocated = new HashMap<>();
     private final Map<JobId, Map<BlockId, TaskSet>> where = new HashMap<>();
     private final Map<JobId, Account> accounts = new HashMap<>();
+    private final Set<BlockId> leased = new HashSet<>();
     private final Set<JobId> waiting = new LinkedHashSet<>();
     private final Set<JobId> out = new HashSet<>();
     private final Set<BlockId> toRead = new LinkedHashSet<>();
@@ -80,8 +81,9 @@
         Map<JobId, TaskSet> next = ledger.allocation(block).tasks();
         Map<JobId, TaskSet> before = next.isEmpty() ? allocated.remove(block) : allocated.put(block, next);
         changedBlocks.add(block);
-        if (!ledger.blocks().containsKey(block)) {
-            toCount.addAll(next.keySet()); // a block that is gone is in no zone
+        boolean isLeased = ledger.blocks().containsKey(block);
+        if (isLeased ? leased.add(block) : leased.remove(block)) {
+            toCount.addAll(next.keySet()); // what is in no zone now is in one, or the reverse
         }
         if (before != null) {
             for (JobId job : before.keySet()) {
--- a/src/main/java/org/quincecross/leader/Fleet.java
+++ b/src/main/java/org/quincecross/leader/Fleet.java
@@ -49,7 +49,7 @@
     private static final int MACHINES_PER_UNFENCED = 50;
     private static final double MOST_USED_TO_EMPTY = 0.55;
     private static final int MOST_REQUESTS_AT_ONCE = 3;
-    private static final int MOST_AT_ONCE = 25;
+    private static final int MOST_AT_ONCE = 50;
     private static final int MOST_RETURNED_AT_ONCE = 50;
 
     /** What the holders say of their machines, and which machines report to the wrong controller. */
@@ -123,7 +123,7 @@
             wanted.clear();
             leaving.clear();
             leaving.addAll(gone);
-            rentAfter = timers.now().plus(Span.ofSeconds(3)); // first hear what there is
+            rentAfter = timers.now().plus(Span.ofSeconds(1.5)); // first hear what there is
             consolidateAfter = timers.now().plus(CONSOLIDATE_FIRST);
         }
         view = views;
@@ -294,7 +294,7 @@
                 continue;
             }
             SteadyTime since = idleSince.computeIfAbsent(entry.getKey(), id -> now);
-            if (now.since(since).isMoreThan(keepIdle(entry.getKey())) && calm && hasRoomElsewhere(entry.getKey(), Resources.NONE, List.of(), current)) {
+            if (now.since(since).isMoreThan(keepIdle(entry.getKey())) && calm && hasRoomElsewhere(entry.getKey(), Resources.NONE, current)) {
                 want(entry.getKey());
                 room.remove(entry.getKey(), current);
             }
@@ -403,8 +403,8 @@
         return type != null && timers.now().since(machine.since()).isMoreThan(type.boot().times(2));
     }
 
-    /** Whether the other machines of the type that have the images have room for the tasks, and for two more urgent ones. */
-    private boolean hasRoomElsewhere(MachineId machine, Resources tasks, List<String> images, View current) {
+    /** Whether the other machines of the type have room for the tasks, and for some more urgent ones. */
+    private boolean hasRoomElsewhere(MachineId machine, Resources tasks, View current) {
         BlockLease block = ledger.blockOf(machine);
         if (block == null || !room.leavesReserve(machine, block, current)) {
             return false;
@@ -418,18 +418,6 @@
             slots -= room.slotsOf(own);
             free = free.minus(own.free());
         }
-        if (!images.isEmpty()) {
-            slots = 0;
-            free = Resources.NONE;
-            for (Map.Entry<MachineId, PeerReport.MachineState> other : current.machines().entrySet()) {
-                BlockLease home = ledger.blockOf(other.getKey());
-                if (!other.getKey().equals(machine) && home != null && home.type().equals(block.type()) && !home.spot()
-                        && room.counts(other.getKey(), home) && other.getValue().images().containsAll(images)) {
-                    slots += room.slotsOf(other.getValue());
-                    free = free.plus(other.getValue().free());
-                }
-            }
-        }
         int needed = each.cpus() > 0 ? (int) Math.ceil(tasks.shareOf(each)) : 0;
         return slots >= needed + spare && tasks.fitsIn(free);
     }
@@ -459,10 +447,11 @@
         List<MachineId> order = new ArrayList<>(thin.keySet());
         order.sort(Comparator.comparing((MachineId machine) -> thin.get(machine)).thenComparing(machine -> machine));
         int most = 1 + current.machines().size() / MACHINES_PER_EMPTIED;
+        Map<MachineId, Resources> taken = new HashMap<>();
         for (MachineId machine : order) {
             PeerReport.MachineState state = current.machines().get(machine);
             Resources used = ledger.types().get(ledger.blockOf(machine).type()).capacity().minus(state.free());
-            if (most > 0 && hasRoomElsewhere(machine, used, state.imagesInUse(), current)) {
+            if (most > 0 && hasRoomElsewhere(machine, used, current) && hasRoomNearby(machine, used, state.imagesInUse(), taken, current)) {
                 LOG.info("machine {} is emptied: its replicas have room elsewhere", machine);
                 want(machine);
                 room.remove(machine, current);
@@ -473,6 +462,24 @@
         }
     }
 
+    /**
+     * Whether replicas find room and their images on other machines of their own block: their holder then moves them in
+     * a moment, while by way of the pool, and with a fetch, they would be down for seconds.
+     */
+    private boolean hasRoomNearby(MachineId machine, Resources used, List<String> images, Map<MachineId, Resources> taken,
+            View current) {
+        for (MachineId other : ledger.blockOf(machine).machines().keySet()) {
+            PeerReport.MachineState state = current.machines().get(other);
+            if (!other.equals(machine) && state != null && state.open() && room.counts(other, ledger.blockOf(other))
+                    && state.images().containsAll(images)
+                    && used.plus(taken.getOrDefault(other, Resources.NONE)).fitsIn(state.free())) {
+                taken.merge(other, used, Resources::plus);
+                return true;
+            }
+        }
+        return false;
+    }
+
     private void giveBack(Set<MachineId> back, SteadyTime now) {
         if (back.isEmpty() || returning || now.isBefore(returnAfter) || !cloud.take()) {
             return;
--- a/src/main/java/org/quincecross/leader/Leader.java
+++ b/src/main/java/org/quincecross/leader/Leader.java
@@ -80,6 +80,8 @@
     private static final Span REPORT_FRESH = Span.ofSeconds(2.5);
     /** A job that nobody waits for by a certain time comes after those of about an hour's patience. */
     private static final double NO_DEADLINE_S = 3600;
+    /** Estimates are often too high by half: a job that has less of its estimated time left will be late. */
+    private static final double FEASIBLE = 0.6;
     private static final int LEAST_CHANGES = 2;
     private static final int VALUE_MARGIN = 64;
     /** A block whose record names so many tasks that are done is worth writing anew. */
@@ -101,6 +103,7 @@
     private final Books books;
     private final Map<BlockId, Admission.Block> admissionBlocks = new TreeMap<>();
     private final Set<BlockId> toLookAt = new HashSet<>();
+    private final Set<BlockId> stale = new HashSet<>();
     private final Map<MemberId, Boolean> wasFresh = new HashMap<>();
     private final Map<BlockId, SteadyTime> writtenAt = new HashMap<>();
     private final Map<MachineId, Machine> newcomers = new LinkedHashMap<>();
@@ -653,7 +656,7 @@
             SteadyTime written = writtenAt.get(block.id());
             boolean gathered = written == null || now.since(written).isMoreThan(gathering);
             if (block.admittedRank() == Rank.PRODUCTION || gathered
-                    && (block.admittedRank() != null || !released(block.id()).isEmpty() || books.stale(block.id()) > MOST_STALE)) {
+                    && (block.admittedRank() != null || !released(block.id()).isEmpty() || stale.contains(block.id()))) {
                 toWrite.add(block.id());
             }
             if (block.admittedRank() != null) {
@@ -696,6 +699,7 @@
             BlockLease lease = ledger.blocks().get(id);
             if (lease == null) {
                 admissionBlocks.remove(id);
+                stale.remove(id);
                 writtenAt.remove(id);
                 continue;
             }
@@ -705,6 +709,11 @@
                 block.count(books.account(job).job(), tasks.size(), tasks.size() - (done == null ? 0 : tasks.common(done)));
             });
             admissionBlocks.put(id, block);
+            if (books.stale(id) > MOST_STALE) {
+                stale.add(id);
+            } else {
+                stale.remove(id);
+            }
         }
         toLookAt.clear();
     }
@@ -730,13 +739,14 @@
         MachineType type = ledger.types().get(lease.type());
         PeerViews.BlockView view = blockView(lease);
         int open = 0;
-        Map<String, Resources> images = new HashMap<>();
+        Map<String, Admission.ImageRoom> images = new HashMap<>();
         if (view != null) {
             for (MachineId machine : lease.machines().keySet()) {
                 PeerReport.MachineState state = view.machines().get(machine);
                 if (state != null && state.open() && !lease.leaving().contains(machine)) {
                     open++;
-                    state.images().forEach(image -> images.merge(image, state.free(), Resources::plus));
+                    Admission.ImageRoom room = new Admission.ImageRoom(state.free(), state.yielding());
+                    state.images().forEach(image -> images.merge(image, room, Admission.ImageRoom::plus));
                 }
             }
         }
@@ -761,26 +771,50 @@
             boolean within = sum.fitsIn(team.guarantee());
             guaranteed.put(job.team(), sum);
             if (waiting.contains(job.id())) {
-                demands.add(new Admission.Demand(job, record.version(), dueS(record), within, account.pool(),
+                demands.add(new Admission.Demand(job, record.version(), dueS(record), within, isHurried(job), account.pool(),
                         account.perZone()));
             }
         }
         return demands;
     }
 
-    /** Seconds until a job should be over, by its own deadline or by what is expected of its class. */
+    /** Whether fetching its image takes longer, on the quickest machines, than the job's tasks may take to start. */
+    private boolean isHurried(Job job) {
+        Span within = settings.startWithin(job.jobClass());
+        double rate = 0;
+        for (MachineType type : ledger.types().values()) {
+            rate = Math.max(rate, type.fetchGbPerS());
+        }
+        return within != null && job.rank() == Rank.PRODUCTION && job.imageGb() > rate * within.seconds();
+    }
+
+    /**
+     * Seconds until a job should be over: by its deadline, a multiple of it, or what is expected of its class, whichever
+     * comes first of those that it can still meet. What can meet none is late.
+     */
     private double dueS(JobRecord record) {
         double age = (clockMs.getAsLong() - record.acceptedMs()) / 1000.0;
-        if (record.job().deadline() != null) {
-            return record.job().deadline().seconds() - age;
+        Job job = record.job();
+        double soonest = FEASIBLE * job.estimate().seconds();
+        double due = Double.MAX_VALUE;
+        double last = job.deadline() == null ? -1 : job.deadline().seconds();
+        if (job.deadline() != null && last - age > soonest) {
+            due = last - age;
         }
-        double due = NO_DEADLINE_S - age;
         for (Settings.Objective objective : settings.objectives()) {
-            if (record.job().jobClass().equals(objective.jobClass()) && objective.within() != null) {
-                due = Math.min(due, objective.within().seconds() - age);
+            if (job.jobClass().equals(objective.jobClass())) {
+                double within = objective.within() != null ? objective.within().seconds()
+                        : job.deadline() != null ? objective.times() * job.deadline().seconds() : -1;
+                last = Math.max(last, within);
+                if (within - age > soonest) {
+                    due = Math.min(due, within - age);
+                }
             }
         }
-        return due;
+        if (due < Double.MAX_VALUE) {
+            return due;
+        }
+        return last < 0 ? NO_DEADLINE_S - age : Math.min(-1, last - age);
     }
 
     private Fleet.View fleetView() {
--- a/src/main/java/org/quincecross/peer/PeerCodec.java
+++ b/src/main/java/org/quincecross/peer/PeerCodec.java
@@ -72,9 +72,8 @@
         out.packArrayHeader(block.machines().size());
         for (PeerReport.MachineState machine : block.machines()) {
             out.packString(machine.id().text());
-            out.packDouble(machine.free().cpus());
-            out.packDouble(machine.free().gpus());
-            out.packDouble(machine.free().memoryGb());
+            writeResources(out, machine.free());
+            writeResources(out, machine.yielding());
             out.packLong(machine.silent().nanos());
             out.packBoolean(machine.open());
             out.packBoolean(machine.fenced());
@@ -88,6 +87,16 @@
         }
     }
 
+    private static void writeResources(MessageBufferPacker out, Resources resources) throws IOException {
+        out.packDouble(resources.cpus());
+        out.packDouble(resources.gpus());
+        out.packDouble(resources.memoryGb());
+    }
+
+    private static Resources readResources(MessageUnpacker in) throws IOException {
+        return new Resources(in.unpackDouble(), in.unpackDouble(), in.unpackDouble());
+    }
+
     private static void writeTexts(MessageBufferPacker out, List<String> texts) throws IOException {
         out.packArrayHeader(texts.size());
         for (String text : texts) {
@@ -162,7 +171,8 @@
         List<PeerReport.MachineState> machines = new ArrayList<>();
         for (int i = count(in.unpackArrayHeader()); i > 0; i--) {
             MachineId machine = new MachineId(in.unpackString());
-            Resources free = new Resources(in.unpackDouble(), in.unpackDouble(), in.unpackDouble());
+            Resources free = readResources(in);
+            Resources yielding = readResources(in);
             Span silent = new Span(in.unpackLong());
             boolean open = in.unpackBoolean();
             boolean fenced = in.unpackBoolean();
@@ -171,7 +181,7 @@
             boolean movable = in.unpackBoolean();
             int tasks = in.unpackInt();
             int queued = in.unpackInt();
-            machines.add(new PeerReport.MachineState(machine, free, silent, open, fenced, notice, sick,
+            machines.add(new PeerReport.MachineState(machine, free, yielding, silent, open, fenced, notice, sick,
                     movable, tasks, queued, readTexts(in), readTexts(in)));
         }
         return new PeerReport.Block(id, token, allocation, whole, completed, released, running, machines);
--- a/src/main/java/org/quincecross/peer/PeerReport.java
+++ b/src/main/java/org/quincecross/peer/PeerReport.java
@@ -57,10 +57,11 @@
      *
      * @param silent how long it has not reported; zero while it reports as it should
      * @param open whether it takes work
+     * @param yielding what urgent work could have in a moment, beyond {@code free}
      * @param images those that it has or is fetching; {@code imagesInUse}: those that its tasks need
      * @param movable whether all that runs there are services that have been up for a while
      */
-    public record MachineState(MachineId id, Resources free, Span silent, boolean open, boolean fenced, boolean notice,
-            boolean sick, boolean movable, int tasks, int queued, List<String> images, List<String> imagesInUse) {
+    public record MachineState(MachineId id, Resources free, Resources yielding, Span silent, boolean open, boolean fenced,
+            boolean notice, boolean sick, boolean movable, int tasks, int queued, List<String> images, List<String> imagesInUse) {
     }
 }
--- a/src/main/java/org/quincecross/sched/Admission.java
+++ b/src/main/java/org/quincecross/sched/Admission.java
@@ -36,6 +36,13 @@
     /** A job with less time to spare than this is pressed. */
     private static final double PRESSED_S = 12;
 
+    /** The room on machines that have an image: what is free, and what urgent work could have in a moment. */
+    public record ImageRoom(Resources free, Resources yielding) {
+        public ImageRoom plus(ImageRoom other) {
+            return new ImageRoom(free.plus(other.free), yielding.plus(other.yielding));
+        }
+    }
+
     /** A block as admission sees it. What is counted into it stays; what was admitted spoils it for another round. */
     public static final class Block {
         private final BlockId id;
@@ -45,7 +52,7 @@
         private final Resources capacity;
         private final Resources machine;
         private final int machines;
-        private final Map<String, Resources> images;
+        private final Map<String, ImageRoom> images;
         private final int mostBytes;
         private final Resources[] usedFrom = new Resources[Rank.values().length];
         private final Map<JobId, TaskSet> admitted = new LinkedHashMap<>();
@@ -58,7 +65,7 @@
          * @param mostBytes what the record of its tasks may take
          */
         public Block(BlockId id, String type, String zone, boolean spot, Resources capacity, int machines,
-                Map<String, Resources> images, int mostBytes) {
+                Map<String, ImageRoom> images, int mostBytes) {
             this.id = id;
             this.type = type;
             this.zone = zone;
@@ -103,10 +110,10 @@
             return admittedRank;
         }
 
-        /** 0 where there is room next to a job's image, 1 where the image is, 2 elsewhere. */
+        /** 0 where there is room next to a job's image, 1 where it can be made, 2 where the image is, 3 elsewhere. */
         private int imageGrade(Job job) {
-            Resources room = images.get(job.image());
-            return room == null ? 2 : job.each().fitsIn(room) ? 0 : 1;
+            ImageRoom room = images.get(job.image());
+            return room == null ? 3 : job.each().fitsIn(room.free()) ? 0 : job.each().fitsIn(room.free().plus(room.yielding())) ? 1 : 2;
         }
 
         private Resources usedFrom(Rank rank) {
@@ -131,7 +138,7 @@
             set.add(index);
             bytes += bytesFor(job, 1) - bytesFor(job, 0);
             use(job, 1);
-            images.computeIfPresent(job.image(), (image, room) -> room.minus(job.each()));
+            images.computeIfPresent(job.image(), (image, room) -> new ImageRoom(room.free().minus(job.each()), room.yielding()));
             if (admittedRank == null || job.rank().isAbove(admittedRank)) {
                 admittedRank = job.rank();
             }
@@ -142,9 +149,10 @@
      * An open job with tasks in the pool.
      *
      * @param dueS seconds until it should be over; below 0, what is late already
+     * @param hurried whether a fetch of its image would make it late
      * @param perZone how many of its tasks are in each zone
      */
-    public record Demand(Job job, Revision accepted, double dueS, boolean guaranteed, TaskSet pool,
+    public record Demand(Job job, Revision accepted, double dueS, boolean guaranteed, boolean hurried, TaskSet pool,
             Map<String, Integer> perZone) {
 
         /** Whether others are to make room for it: it must start at once, or it will be late. */
@@ -254,7 +262,7 @@
             perZone.merge(block.zone, 1, Integer::sum);
             left--;
             if (!bound && hasRoom(job, 1, demand.isPressed(), block)) {
-                choices.add(new Choice(block, job, entersReserve(job, block), 0));
+                choices.add(new Choice(block, demand, entersReserve(job, block), 0));
             }
         }
         return 0;
@@ -266,7 +274,7 @@
         for (Block block : blocks) {
             looks++;
             if (mayGo(job, block, perZone) && hasRoom(job, 1, demand.isPressed(), block)) {
-                choices.add(new Choice(block, job, entersReserve(job, block),
+                choices.add(new Choice(block, demand, entersReserve(job, block),
                         job.spread() ? perZone.getOrDefault(block.zone, 0) : 0));
             }
         }
@@ -281,15 +289,19 @@
         private final int second;
         private final double unused;
 
-        Choice(Block block, Job job, boolean entersReserve, int inZone) {
+        Choice(Block block, Demand demand, boolean entersReserve, int inZone) {
             this.block = block;
             this.inZone = inZone;
+            Job job = demand.job();
             boolean wastesGpus = job.each().gpus() == 0 && block.capacity.gpus() > 0;
             boolean waits = !job.each().fitsIn(block.free());
             // Work crowds together where it fits: machines that nobody needs fall idle and can go back.
             this.unused = -block.usedFrom(Rank.LOW).shareOf(block.capacity);
-            this.grade = (entersReserve ? 4 : 0) + (wastesGpus ? 2 : 0) + (waits ? 1 : 0);
-            this.second = 2 * block.imageGrade(job) + (block.spot ? 0 : 1);
+            // What is hurried goes to its image first of all; for the rest a fetch is the lesser evil.
+            int room = (entersReserve ? 4 : 0) + (wastesGpus ? 2 : 0) + (waits ? 1 : 0);
+            int image = 2 * block.imageGrade(job) + (block.spot ? 0 : 1);
+            this.grade = demand.hurried() ? image : room;
+            this.second = demand.hurried() ? room : image;
         }
 
         @Override
@@ -319,7 +331,7 @@
             looks++;
             if (mayGo(job, block, Map.of()) && hasRoom(job, job.tasks(), demand.isPressed(), block)
                     && (!job.spread() || job.tasks() <= job.mostInOneZone())) {
-                Choice choice = new Choice(block, job, false, 0);
+                Choice choice = new Choice(block, demand, false, 0);
                 best = best == null || choice.compareTo(best) < 0 ? choice : best;
             }
         }
--- a/src/main/java/org/quincecross/sched/BlockScheduler.java
+++ b/src/main/java/org/quincecross/sched/BlockScheduler.java
@@ -123,7 +123,7 @@
 
     /** Puts work into the queue of the machine where it starts soonest; false if no machine could ever run it. */
     public boolean enqueue(Entry entry) {
-        MachineQueue best = best(entry, machine -> machine.canEver(entry));
+        MachineQueue best = best(entryOrder(entry), machine -> machine.canEver(entry));
         if (best == null) {
             return false;
         }
@@ -132,8 +132,7 @@
         return true;
     }
 
-    private MachineQueue best(Entry entry, Predicate<MachineQueue> may) {
-        Comparator<MachineQueue> order = entryOrder(entry);
+    private MachineQueue best(Comparator<MachineQueue> order, Predicate<MachineQueue> may) {
         MachineQueue best = null;
         for (MachineQueue machine : machines.values()) {
             if (may.test(machine) && (best == null || order.compare(machine, best) < 0)) {
@@ -216,7 +215,7 @@
         }
         urgent.sort(Entry.ORDER);
         for (Entry entry : urgent) {
-            MachineQueue best = best(entry, machine -> mayStartOn(machine, entry));
+            MachineQueue best = best(urgentOrder(entry), machine -> mayStartOn(machine, entry));
             boolean betterElsewhere = best != null && entry.avoidsFetch() && !best.hasImage(entry)
                     && machines.values().stream().anyMatch(machine -> machine.hasImage(entry) && machine.couldFit(entry));
             if (best != null && !betterElsewhere) {
@@ -225,6 +224,16 @@
         }
     }
 
+    /** Which machine urgent work starts on, whoever else waits there: the image saves the most time. */
+    private Comparator<MachineQueue> urgentOrder(Entry entry) {
+        return Comparator
+                .comparing((MachineQueue machine) -> !machine.hasImage(entry))
+                .thenComparing(machine -> breaksUp(machine, entry))
+                .thenComparing(machine -> machine.hasImage(entry) ? 0 : machine.fetches())
+                .thenComparing(machine -> machine.fit(entry))
+                .thenComparing(MachineQueue::machine);
+    }
+
     private void start(Entry entry, List<MachineQueue> on, List<Start> starts) {
         remove(entry);
         List<MachineId> ids = new ArrayList<>();
--- a/src/main/java/org/quincecross/wire/Settings.java
+++ b/src/main/java/org/quincecross/wire/Settings.java
@@ -25,8 +25,12 @@
     public record Sibling(MemberId member, String zone, Endpoint endpoint) {
     }
 
-    /** What is expected of a class of jobs; {@code within} and {@code jobClass} may be null. */
-    public record Objective(String kind, String jobClass, Span within, double share) {
+    /**
+     * What is expected of a class of jobs; {@code within} and {@code jobClass} may be null.
+     *
+     * @param times of a deadline: by how many times the deadline; 1 where nothing is said
+     */
+    public record Objective(String kind, String jobClass, Span within, double times, double share) {
     }
 
     /** How workers behave. */
@@ -45,6 +49,18 @@
     public record Quota(double cpuShare, double memoryMb, int sockets) {
     }
 
+    /** The time within which tasks of a class should start, or null if nothing is said of that. */
+    public Span startWithin(String jobClass) {
+        Span least = null;
+        for (Objective objective : objectives) {
+            if (objective.kind().equals("wait") && jobClass.equals(objective.jobClass()) && objective.within() != null
+                    && (least == null || least.isMoreThan(objective.within()))) {
+                least = objective.within();
+            }
+        }
+        return least;
+    }
+
     public static Settings read(byte[] bytes) throws BadMessage {
         Fields in = Fields.of(Json.parse(bytes), "the settings");
         Fields external = in.fields("external");
@@ -65,6 +81,7 @@
             Fields objective = Fields.of(item, "an item of objectives");
             objectives.add(new Objective(objective.text("kind"), objective.textOr("class", null),
                     objective.has("within_s") ? Span.ofSeconds(objective.amount("within_s")) : null,
+                    objective.has("times") ? objective.positive("times") : 1,
                     objective.has("share") ? objective.amount("share") : 1));
         }
         Fields workers = params.fields("workers");
--- a/src/test/java/org/quincecross/peer/PeerCodecTest.java
+++ b/src/test/java/org/quincecross/peer/PeerCodecTest.java
@@ -32,7 +32,7 @@
         var names = Arbitraries.strings().ofMaxLength(10);
         var machines = Combinators.combine(names, Arbitraries.doubles().between(0, 1000), Arbitraries.longs(),
                 Arbitraries.of(true, false), Arbitraries.integers(), names.list().ofMaxSize(4)).as((name, free, silent, flag, n, images) ->
-                    new PeerReport.MachineState(new MachineId(name), new Resources(free, 0, free), new Span(silent), !flag, flag, !flag,
+                    new PeerReport.MachineState(new MachineId(name), new Resources(free, 0, free), new Resources(0, free, 1), new Span(silent), !flag, flag, !flag,
                             flag, !flag, n, n, images, images));
         var blocks = Combinators.combine(names, Arbitraries.longs(), tasks, tasks, jobs, machines.list().ofMaxSize(6))
                 .as((name, token, completed, released, job, states) -> new PeerReport.Block(new BlockId(name), new Token(token),
--- a/src/test/java/org/quincecross/sched/AdmissionTest.java
+++ b/src/test/java/org/quincecross/sched/AdmissionTest.java
@@ -58,7 +58,7 @@
                 for (int i = 0; i < job.tasks(); i++) {
                     all.add(i);
                 }
-                demands.add(new Admission.Demand(job, new Revision(1), 100, false, all, Map.of()));
+                demands.add(new Admission.Demand(job, new Revision(1), 100, false, job.tasks() % 2 == 0, all, Map.of()));
             }
         }
         byId.clear();
--- /dev/null
+++ b/src/test/java/org/quincecross/state/LedgerTool.java
@@ -0,0 +1,25 @@
+package org.quincecross.state;
+
+import java.util.Map;
+import org.quincecross.model.Revision;
+import org.quincecross.wire.BadMessage;
+import org.quincecross.wire.Json;
+
+/** Lets tests of other packages change a ledger as the follower does. */
+public final class LedgerTool {
+    private LedgerTool() {
+    }
+
+    /** As it comes from the state service: through JSON. */
+    public static void put(Ledger ledger, String key, Map<String, Object> value, long revision) {
+        try {
+            ledger.apply(key, value == null ? null : Json.parse(Json.write(value)), new Revision(revision));
+        } catch (BadMessage e) {
+            throw new IllegalArgumentException(e);
+        }
+    }
+
+    public static void advance(Ledger ledger, long revision) {
+        ledger.advance(new Revision(revision));
+    }
+}
