--- a/src/main/java/org/quincecross/leader/Fleet.java
+++ b/src/main/java/org/quincecross/leader/Fleet.java
@@ -17,6 +17,7 @@
 import org.quincecross.model.MachineId;
 import org.quincecross.model.MachineType;
 import org.quincecross.model.Resources;
+import org.quincecross.model.Shape;
 import org.quincecross.model.Span;
 import org.quincecross.model.SteadyTime;
 import org.quincecross.net.HttpCaller;
@@ -542,6 +543,9 @@
         Map<Kind, Integer> wishes = new LinkedHashMap<>();
         Map<Kind, Integer> owned = machinesOfKinds();
         for (Admission.Unmet need : unmet) {
+            if (need.job().shape() == Shape.GANG && wishForLargeGang(need, wishes, now)) {
+                continue;
+            }
             int left = need.tasks();
             for (Bin bin : bins) {
                 left -= bin.fill(need.job(), left);
@@ -567,6 +571,53 @@
         return wishes;
     }
 
+    /**
+     * A gang that no block is large enough for: the block that lacks least is to grow. False if there is a block that
+     * could hold it, and room is all that is missing.
+     */
+    private boolean wishForLargeGang(Admission.Unmet need, Map<Kind, Integer> wishes, SteadyTime now) {
+        Kind best = null;
+        int bestMissing = Integer.MAX_VALUE;
+        for (MachineType type : catalog.values()) {
+            int each = type.capacity().count(need.job().each());
+            int needed = each == 0 ? 0 : (need.job().tasks() + each - 1) / each;
+            for (String zone : needed > 1 ? type.zones() : List.<String>of()) {
+                for (boolean spot : new boolean[] {true, false}) {
+                    Kind kind = new Kind(type.name(), zone, spot);
+                    int missing = needed - largestBlock(kind);
+                    if (missing <= 0 && need.job().allows(type.name(), zone, spot)) {
+                        return false;
+                    }
+                    SteadyTime refused = refusedUntil.get(kind);
+                    if (need.job().allows(type.name(), zone, spot) && (refused == null || !now.isBefore(refused))
+                            && missing < bestMissing) {
+                        best = kind;
+                        bestMissing = missing;
+                    }
+                }
+            }
+        }
+        if (best == null) {
+            return false;
+        }
+        Kind kind = best;
+        int coming = (int) booting.values().stream().filter(machine -> machine.kind().equals(kind)).count();
+        if (bestMissing > coming) {
+            wishes.merge(best, bestMissing - coming, Math::max);
+        }
+        return true;
+    }
+
+    private int largestBlock(Kind kind) {
+        int most = 0;
+        for (BlockLease block : ledger.blocks().values()) {
+            if (block.type().equals(kind.type()) && block.zone().equals(kind.zone()) && block.spot() == kind.spot()) {
+                most = Math.max(most, block.machines().size());
+            }
+        }
+        return most;
+    }
+
     /** A machine to come, and what of it is spoken for. */
     private static final class Bin {
         private final Kind kind;
--- a/src/main/java/org/quincecross/leader/Leader.java
+++ b/src/main/java/org/quincecross/leader/Leader.java
@@ -467,7 +467,20 @@
         Resources small = foresight.urgentTask();
         int tasks = Math.max(1, small.cpus() > 0 ? type.capacity().count(small) : (int) type.capacity().cpus());
         int byRecord = Math.max(LEAST_BLOCK_SIZE, settings.stateLimits().valueBytes() / BYTES_PER_TASK / tasks);
-        return (int) Math.max(LEAST_BLOCK_SIZE, Math.min(bySize, byRecord));
+        return (int) Math.max(Math.max(LEAST_BLOCK_SIZE, largestGang(type)), Math.min(bySize, byRecord));
+    }
+
+    /** How many machines of a type the largest gang needs that waits: the machines rented for it make a block so large. */
+    private int largestGang(MachineType type) {
+        int most = 0;
+        for (JobId id : books.waiting()) {
+            Job job = books.account(id).job();
+            int each = type.capacity().count(job.each());
+            if (job.shape() == Shape.GANG && each > 0 && (job.types() == null || job.types().contains(type.name()))) {
+                most = Math.max(most, (job.tasks() + each - 1) / each);
+            }
+        }
+        return most;
     }
 
     private record Kind(String type, String zone, boolean spot) {
--- a/src/test/java/org/quincecross/world/WholeServiceTest.java
+++ b/src/test/java/org/quincecross/world/WholeServiceTest.java
@@ -90,6 +90,21 @@
         assertEquals(List.of(), world.rules().broken());
     }
 
+    /** A gang larger than any block: a block grows for it, also where controllers crash meanwhile. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4})
+    void aGangLargerThanAnyBlockRuns(long seed) {
+        World world = new World(seed);
+        world.time().at(5, () -> world.submitLargeGang(1, 8));
+        for (int i = 0; i < seed; i++) {
+            int node = i % World.NODES;
+            world.time().at(8 + 11 * i, () -> world.crash(node));
+        }
+        world.time().runUntil(250);
+        assertEquals(List.of(), world.rules().broken());
+        assertEquals("done", world.told().get(new JobId("job-1")));
+    }
+
     /**
      * A job is cancelled, and before its tasks can leave the allocation everything goes down for longer than a
      * cancellation has: the controllers that come back rebuild their queues from an allocation that still has it.
--- a/src/test/java/org/quincecross/world/World.java
+++ b/src/test/java/org/quincecross/world/World.java
@@ -260,7 +260,7 @@
                 String zone = in.text("Yard");
                 boolean spot = in.flag("Loaners");
                 List<Object> names = charters.computeIfAbsent(in.text("Charter"), c -> new ArrayList<>());
-                if (names.isEmpty()) {
+                for (int more = names.isEmpty() ? in.count("HowMany", 1, 50) : 0; more > 0 && workers.size() < 14; more--) {
                     names.add(addMachine(zone, spot).text());
                 }
                 body = Json.object("Hosts", names);
@@ -288,6 +288,15 @@
         return job.id();
     }
 
+    /** Submits a gang each of whose tasks takes most of a machine. */
+    JobId submitLargeGang(int number, int tasks) {
+        Job job = new Job(new JobId("job-" + number), "gang", "red", Shape.GANG, Rank.NORMAL, tasks,
+                new Resources(5, 0, 2), null, null, true, false, false, "img-0", 1, Span.ofSeconds(20), Span.ZERO, Span.ZERO, null);
+        jobs.put(job.id(), job);
+        sendSubmission(job, time.seconds());
+        return job.id();
+    }
+
     /** Submits one array of long tasks. */
     JobId submitArray(int number, int tasks) {
         Job job = new Job(new JobId("job-" + number), "array", "red", Shape.ARRAY, Rank.NORMAL, tasks,
