Fleet: nothing is returned by a leader without the state service, nor much of a silent zone

Now the fleet acts only for a leader that planned within the last second, and a zone of which more than a quarter is silent is taken for cut off.

--- a/src/main/java/org/quincecross/leader/Fleet.java
+++ b/src/main/java/org/quincecross/leader/Fleet.java
@@ -37,6 +37,7 @@
 public final class Fleet {
     private static final Logger LOG = LoggerFactory.getLogger(Fleet.class);
     private static final Span TICK = Span.ofMillis(500);
+    private static final Span LED_LATELY = Span.ofSeconds(1);
     private static final Span CATALOG_EVERY = Span.ofSeconds(60);
     private static final Span LIST_EVERY = Span.ofSeconds(4);
     private static final Span REFUSED_FOR = Span.ofSeconds(15);
@@ -49,6 +50,7 @@
     /** Of so many machines one may be unheard of while the fleet is called calm. */
     private static final int MACHINES_PER_UNFENCED = 50;
     private static final double MOST_USED_TO_EMPTY = 0.55;
+    private static final double MOST_SILENT_OF_ZONE = 0.25;
     private static final int MOST_REQUESTS_AT_ONCE = 3;
     private static final int MOST_AT_ONCE = 50;
     private static final int MOST_RETURNED_AT_ONCE = 50;
@@ -86,6 +88,7 @@
     private SteadyTime catalogAfter;
     private SteadyTime listAfter;
     private SteadyTime rentAfter;
+    private SteadyTime ledAt;
     private SteadyTime returnAfter;
     private SteadyTime consolidateAfter;
     private boolean leading;
@@ -107,6 +110,7 @@
         catalogAfter = now;
         listAfter = now;
         rentAfter = now;
+        ledAt = now;
         returnAfter = now;
         consolidateAfter = now;
     }
@@ -128,6 +132,7 @@
             consolidateAfter = timers.now().plus(CONSOLIDATE_FIRST);
         }
         view = views;
+        ledAt = timers.now();
     }
 
     void stop() {
@@ -166,10 +171,12 @@
     }
 
     private void tick() {
-        if (!leading || view == null) {
+        SteadyTime now = timers.now();
+        // A leader that has lost the state service may not lead any more: machines that report to it no longer have new
+        // holders, and returning them as silent would end all that runs on them.
+        if (!leading || view == null || now.since(ledAt).isMoreThan(LED_LATELY)) {
             return;
         }
-        SteadyTime now = timers.now();
         refreshCatalog(now);
         refreshList(now);
         View current = view.get();
@@ -254,10 +261,17 @@
                 silent.add(entry.getKey());
             }
         }
-        // A few silent machines are dead or cut off, and returning them proves their tasks gone. Many at once are more
-        // likely a trouble between here and there, which passes.
-        if (silent.size() <= Math.max(2, current.machines().size() / 5)) {
-            back.addAll(silent);
+        Map<String, Integer> all = perZone(current.machines().keySet());
+        Map<String, Integer> unheard = perZone(silent);
+        for (MachineId machine : silent) {
+            // A few silent machines are dead or cut off, and returning them proves their tasks gone. Many at once, or
+            // much of a zone, are more likely a trouble between here and there, which passes: a zone that is cut off
+            // goes on working.
+            String zone = ledger.blockOf(machine).zone();
+            if (silent.size() <= Math.max(2, current.machines().size() / 5)
+                    && unheard.get(zone) <= Math.max(2, all.get(zone) * MOST_SILENT_OF_ZONE)) {
+                back.add(machine);
+            }
         }
         for (CloudCodec.Listed machine : listed.values()) {
             MachineId id = machine.machine().id();
@@ -274,6 +288,12 @@
         return back;
     }
 
+    private Map<String, Integer> perZone(Collection<MachineId> machines) {
+        Map<String, Integer> count = new HashMap<>();
+        machines.forEach(machine -> count.merge(ledger.blockOf(machine).zone(), 1, Integer::sum));
+        return count;
+    }
+
     /**
      * How long a machine may be silent. A spot machine that falls silent has most likely been taken, and returning it
      * proves its tasks gone. An ordinary one is more likely cut off: its tasks go on until its lease is over, and it
