--- /dev/null
+++ b/src/test/java/org/quincecross/leader/FleetTest.java
@@ -0,0 +1,150 @@
+package org.quincecross.leader;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import net.jqwik.api.Example;
+import org.quincecross.admin.OperatorSettings;
+import org.quincecross.http.HttpRequest;
+import org.quincecross.http.HttpResponse;
+import org.quincecross.model.BlockId;
+import org.quincecross.model.Endpoint;
+import org.quincecross.model.Incarnation;
+import org.quincecross.model.Machine;
+import org.quincecross.model.MachineId;
+import org.quincecross.model.MachineType;
+import org.quincecross.model.MemberId;
+import org.quincecross.model.Resources;
+import org.quincecross.model.Revision;
+import org.quincecross.model.Span;
+import org.quincecross.model.SteadyTime;
+import org.quincecross.net.HttpOutcome;
+import org.quincecross.net.Timers;
+import org.quincecross.peer.PeerReport;
+import org.quincecross.state.BlockLease;
+import org.quincecross.state.Foresight;
+import org.quincecross.state.Keys;
+import org.quincecross.state.Ledger;
+import org.quincecross.state.LedgerTool;
+import org.quincecross.state.MemberRecord;
+import org.quincecross.wire.CloudCodec;
+import org.quincecross.wire.Settings;
+
+/** What the fleet returns and what it leaves alone when machines fall silent. */
+class FleetTest {
+    private static final Resources SIZE = new Resources(8, 0, 32);
+    private static final int PER_ZONE = 12;
+
+    private final Clock clock = new Clock();
+    private final Ledger ledger = new Ledger();
+    private final List<String> returned = new ArrayList<>();
+    private final Map<MachineId, PeerReport.MachineState> states = new HashMap<>();
+    private final Fleet fleet;
+
+    private static final class Clock implements Timers {
+        private record Due(long at, long order, Runnable action) {
+        }
+
+        private final PriorityQueue<Due> queue = new PriorityQueue<>((one, other) ->
+                one.at() != other.at() ? Long.compare(one.at(), other.at()) : Long.compare(one.order(), other.order()));
+        private long now;
+        private long order;
+
+        @Override
+        public SteadyTime now() {
+            return new SteadyTime(now);
+        }
+
+        @Override
+        public void after(Span delay, Runnable action) {
+            queue.add(new Due(now + delay.nanos(), order++, action));
+        }
+
+        void run(double seconds) {
+            long until = now + Span.ofSeconds(seconds).nanos();
+            while (!queue.isEmpty() && queue.peek().at() <= until) {
+                now = queue.peek().at();
+                queue.poll().action().run();
+            }
+            now = until;
+        }
+    }
+
+    FleetTest() {
+        Endpoint here = new Endpoint("10.0.0.1", 1);
+        Settings settings = new Settings(new MemberId("n"), "a", here, here, List.of(), here, here, List.of("a", "b"), Map.of(),
+                List.of(), new Settings.Workers(Span.ofSeconds(1), Span.ofSeconds(10), Span.ofSeconds(30), Span.ofSeconds(5),
+                        Span.ofSeconds(40)), new Settings.StateLimits(100, 50, 4096, 8),
+                new Settings.CloudLimits(10, Span.ofSeconds(2)), Span.ofSeconds(1), new Settings.Quota(1, 100, 1000));
+        fleet = new Fleet(clock, this::cloud, ledger, settings, new Foresight(ledger), () -> new Incarnation(1),
+                () -> OperatorSettings.DEFAULTS);
+        MachineType type = new MachineType("t", SIZE, 50, 1, 1, 0.3, Span.ofSeconds(10), List.of("a", "b"));
+        LedgerTool.put(ledger, Keys.type("t"), CloudCodec.writeCatalog(List.of(type)), 1);
+        MemberRecord holder = new MemberRecord(new MemberId("n"), new Incarnation(1), "a", new Revision(1));
+        for (String zone : List.of("a", "b")) {
+            BlockLease block = null;
+            for (int i = 0; i < PER_ZONE; i++) {
+                Machine machine = new Machine(new MachineId("m-" + zone + i), here, "t", zone, true);
+                block = block == null ? BlockLease.first(new BlockId(zone), holder, machine) : block.with(machine);
+                hear(machine.id(), 0);
+            }
+            LedgerTool.put(ledger, Keys.block(block.id()), block.write(), 2);
+        }
+        LedgerTool.advance(ledger, 2);
+        fleet.start();
+    }
+
+    private void cloud(Endpoint to, HttpRequest request, Span timeout, java.util.function.Consumer<HttpOutcome> done) {
+        String body = "{\"Hosts\":[],\"Hulls\":[],\"More\":false}";
+        if (request.path().equals("/hosts/return")) {
+            returned.add(new String(request.body(), StandardCharsets.UTF_8));
+        }
+        clock.after(Span.ofMillis(1), () -> done.accept(HttpOutcome.answered(
+                HttpResponse.of(200, body.getBytes(StandardCharsets.UTF_8)))));
+    }
+
+    private void hear(MachineId machine, double silent) {
+        states.put(machine, new PeerReport.MachineState(machine, Resources.NONE, Resources.NONE, Span.ofSeconds(silent), true, true,
+                false, false, false, 3, 0, List.of(), List.of()));
+    }
+
+    private void lead(double seconds) {
+        for (double at = 0; at < seconds; at += 0.1) {
+            fleet.lead(() -> new Fleet.View(states, Set.of()));
+            clock.run(0.1);
+        }
+    }
+
+    @Example
+    void aSpotMachineThatFallsSilentIsReturned() {
+        hear(new MachineId("m-a3"), 30);
+        lead(3);
+        assertEquals(List.of("{\"Hosts\":[\"m-a3\"]}"), returned);
+    }
+
+    /** A zone that is cut off goes on working: returning its machines would end what runs there. */
+    @Example
+    void muchOfAZoneIsNotReturned() {
+        for (int i = 0; i < 4; i++) {
+            hear(new MachineId("m-a" + i), 30);
+        }
+        lead(3);
+        assertEquals(List.of(), returned);
+    }
+
+    /** A leader without the state service sees machines fall silent that have gone to their new holders. */
+    @Example
+    void aLeaderThatPlansNoMoreReturnsNothing() {
+        lead(3);
+        clock.run(2);
+        hear(new MachineId("m-a3"), 30);
+        clock.run(60);
+        assertEquals(List.of(), returned);
+    }
+}
