--- a/src/main/java/org/quincecross/leader/Fleet.java
+++ b/src/main/java/org/quincecross/leader/Fleet.java
@@ -42,14 +42,17 @@
     private static final Span LIST_EVERY = Span.ofSeconds(4);
     private static final Span REFUSED_FOR = Span.ofSeconds(15);
     private static final Span CONSOLIDATE_FIRST = Span.ofSeconds(60);
-    private static final Span CONSOLIDATE_EVERY = Span.ofSeconds(12);
+    private static final Span CONSOLIDATE_EVERY = Span.ofSeconds(5);
     private static final Span LOOK_FOR_THIN_EVERY = Span.ofSeconds(3);
     private static final int MOST_MOVED_AT_ONCE = 3;
     /** Of so many machines one is emptied at a time. */
-    private static final int MACHINES_PER_EMPTIED = 100;
+    private static final int MACHINES_PER_EMPTIED = 40;
     /** Of so many machines one may be unheard of while the fleet is called calm. */
     private static final int MACHINES_PER_UNFENCED = 50;
     private static final double MOST_USED_TO_EMPTY = 0.55;
+    private static final Span CUT_OFF_FOR = Span.ofSeconds(60);
+    /** Spot machines silent so many times as often as ordinary ones, or more, have been taken. */
+    private static final int ORDINARY_TO_SPOT = 3;
     private static final double MOST_SILENT_OF_ZONE = 0.25;
     private static final int MOST_REQUESTS_AT_ONCE = 3;
     private static final int MOST_AT_ONCE = 50;
@@ -247,6 +250,7 @@
         boolean calm = isCalm(current);
         markIdle(current, calm, now);
         List<MachineId> silent = new ArrayList<>();
+        boolean cutOff = isCutOff(current);
         for (Map.Entry<MachineId, PeerReport.MachineState> entry : current.machines().entrySet()) {
             PeerReport.MachineState state = entry.getValue();
             if (state.sick()) {
@@ -257,7 +261,7 @@
             if (goes && state.fenced() && !state.open() && state.tasks() == 0) {
                 back.add(entry.getKey());
             }
-            if (state.silent().isMoreThan(patience(entry.getKey())) && !current.strays().contains(entry.getKey())) {
+            if (state.silent().isMoreThan(patience(entry.getKey(), cutOff)) && !current.strays().contains(entry.getKey())) {
                 silent.add(entry.getKey());
             }
         }
@@ -296,13 +300,29 @@
 
     /**
      * How long a machine may be silent. A spot machine that falls silent has most likely been taken, and returning it
-     * proves its tasks gone. An ordinary one is more likely cut off: its tasks go on until its lease is over, and it
-     * may well come back with its images.
+     * proves its tasks gone: unless ordinary machines, which nobody takes, fall silent as well. Those are cut off: their
+     * tasks are over with their leases, and they may well come back with their images. One that has died is listed as
+     * failed after a while.
      */
-    private Span patience(MachineId machine) {
+    private Span patience(MachineId machine, boolean cutOff) {
         boolean spot = ledger.blockOf(machine) != null && ledger.blockOf(machine).spot();
-        return spot ? settings.workers().report().times(2.5).plus(Span.ofSeconds(3))
-                : settings.workers().lease().plus(Span.ofSeconds(20));
+        return spot && !cutOff ? spotPatience() : settings.workers().lease().plus(CUT_OFF_FOR);
+    }
+
+    private Span spotPatience() {
+        return settings.workers().report().times(2.5).plus(Span.ofSeconds(3));
+    }
+
+    /** Whether ordinary machines are silent as well as spot machines, so that a trouble of the network is likelier. */
+    private boolean isCutOff(View current) {
+        int[] all = new int[2];
+        int[] unheard = new int[2];
+        current.machines().forEach((machine, state) -> {
+            int kind = ledger.blockOf(machine) != null && ledger.blockOf(machine).spot() ? 1 : 0;
+            all[kind]++;
+            unheard[kind] += state.silent().isMoreThan(spotPatience()) ? 1 : 0;
+        });
+        return unheard[0] > 1 && ORDINARY_TO_SPOT * unheard[0] * all[1] > unheard[1] * all[0];
     }
 
     /** Marks machines that have had nothing to do for a while, as long as nothing waits for room. */
--- a/src/test/java/org/quincecross/leader/FleetTest.java
+++ b/src/test/java/org/quincecross/leader/FleetTest.java
@@ -96,6 +96,13 @@
             }
             LedgerTool.put(ledger, Keys.block(block.id()), block.write(), 2);
         }
+        BlockLease ordinary = null;
+        for (int i = 0; i < PER_ZONE; i++) {
+            Machine machine = new Machine(new MachineId("o-" + i), here, "t", "b", false);
+            ordinary = ordinary == null ? BlockLease.first(new BlockId("o"), holder, machine) : ordinary.with(machine);
+            hear(machine.id(), 0);
+        }
+        LedgerTool.put(ledger, Keys.block(ordinary.id()), ordinary.write(), 2);
         LedgerTool.advance(ledger, 2);
         fleet.start();
     }
@@ -138,6 +145,16 @@
         assertEquals(List.of(), returned);
     }
 
+    /** Nobody takes ordinary machines: where they are silent as well, it is the network, and all of them may come back. */
+    @Example
+    void spotMachinesSilentTogetherWithOrdinaryOnesAreNotReturned() {
+        hear(new MachineId("m-b3"), 30);
+        hear(new MachineId("o-1"), 30);
+        hear(new MachineId("o-2"), 30);
+        lead(3);
+        assertEquals(List.of(), returned);
+    }
+
     /** A leader without the state service sees machines fall silent that have gone to their new holders. */
     @Example
     void aLeaderThatPlansNoMoreReturnsNothing() {
