--- a/src/main/java/org/quincecross/block/BlockHolder.java
+++ b/src/main/java/org/quincecross/block/BlockHolder.java
@@ -9,7 +9,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
-import org.quincecross.http.HttpRequest;
 import org.quincecross.model.Attempt;
 import org.quincecross.model.BlockId;
 import org.quincecross.model.Job;
@@ -27,17 +26,13 @@
 import org.quincecross.model.TaskId;
 import org.quincecross.model.TaskSet;
 import org.quincecross.model.Token;
-import org.quincecross.net.HttpOutcome;
 import org.quincecross.peer.PeerReport;
 import org.quincecross.sched.BlockScheduler;
 import org.quincecross.sched.Entry;
-import org.quincecross.sched.MachineQueue;
 import org.quincecross.sched.Preemption;
 import org.quincecross.state.Allocation;
 import org.quincecross.state.BlockLease;
 import org.quincecross.state.JobRecord;
-import org.quincecross.wire.BadMessage;
-import org.quincecross.wire.Json;
 import org.quincecross.wire.Order;
 import org.quincecross.wire.Settings;
 import org.quincecross.wire.WorkerCodec;
@@ -57,16 +52,14 @@
  */
 public final class BlockHolder {
     private static final Logger LOG = LoggerFactory.getLogger(BlockHolder.class);
-    private static final Span DIRECT_TIMEOUT = Span.ofSeconds(1.5);
-    private static final Span DIRECT_RETRY = Span.ofSeconds(1);
     /** Beyond the clocks' drift: what a worker and this process may take to notice. */
     private static final Span LEASE_MARGIN = Span.ofSeconds(0.7);
     private static final double CLOCK_DRIFT = 1.001;
-    private static final int MOST_ORDERS = 300;
     /** An attempt is the block's token, then this many bits of a count: larger under every later lease. */
     private static final int ATTEMPT_BITS = 20;
     /** A replica that has just been started should not be stopped again for tidiness. */
     private static final Span MOVABLE_AFTER = Span.ofSeconds(40);
+    private static final Span GANG_PATIENCE = Span.ofSeconds(30);
     private static final Span ROOM_PATIENCE = Span.ofMillis(20);
 
     private final HolderContext context;
@@ -74,10 +67,10 @@
     private final Placements placements = new Placements();
     private final Map<TaskId, Entry> entries = new HashMap<>();
     private final BlockScheduler scheduler = new BlockScheduler();
-    private final Map<JobId, Set<MachineId>> failedOn = new HashMap<>();
-    private final Set<JobId> succeeded = new HashSet<>();
+    private final Blame blame = new Blame();
     private final Set<MachineId> toUpdate = new LinkedHashSet<>();
     private final BlockReporter reporter;
+    private final Commands commands;
     private BlockLease lease;
     private boolean settled;
     private boolean superseded;
@@ -92,13 +85,16 @@
         this.context = context;
         this.lease = lease;
         this.reporter = new BlockReporter(this);
+        this.commands = new Commands(context, this, placements, sessions);
         SteadyTime now = context.now();
         for (Machine machine : lease.machines().values()) {
             addMachine(machine, now.plus(context.longestUnconfirmed()));
         }
         settle();
         sync();
-        fence();
+        if (!superseded) {
+            commands.fence();
+        }
     }
 
     public BlockLease lease() {
@@ -168,7 +164,9 @@
         reporter.begin();
         settle();
         sync();
-        fence();
+        if (!superseded) {
+            commands.fence();
+        }
     }
 
     /** Brings the placements in line with the allocation, if that has changed. */
@@ -287,7 +285,7 @@
                 entry.avoidFetch();
             }
             if (placement.failures() > 0) {
-                entry.avoided().addAll(failedOn.getOrDefault(job.id(), Set.of()));
+                entry.avoided().addAll(blame.failedOn(job.id()));
                 if (entry.avoided().size() >= sessions.size()) {
                     entry.avoided().clear();
                 }
@@ -383,10 +381,10 @@
             stir(session);
         }
         settleChanges();
-        List<Order> orders = session.state() == Session.State.FENCED ? orders(session) : List.of();
-        tell(orders, report.order());
+        List<Order> orders = session.state() == Session.State.FENCED ? commands.orders(session) : List.of();
+        commands.tell(orders, report.order());
         byte[] answer = WorkerCodec.writeAnswer(token(), orders);
-        sendDirects();
+        commands.sendUntold();
         return answer;
     }
 
@@ -451,7 +449,7 @@
                 }
                 if (placement.isRunning() && now.since(placement.runningSince()).isMoreThan(Span.ofSeconds(10))) {
                     session.failures().remove(placement.task().job());
-                    succeeded.add(placement.task().job());
+                    blame.succeeded(placement.task().job());
                 }
             }
             return;
@@ -461,7 +459,7 @@
             if (open && (ours || placement.state() == Placement.State.UNSETTLED || placement.state() == Placement.State.WAITING)) {
                 dequeue(piece.task());
                 session.failures().clear();
-                succeeded.add(piece.task().job());
+                blame.succeeded(piece.task().job());
                 placement.completed(machine, piece.attempt(), now);
                 context.newsForLeader();
             }
@@ -477,9 +475,12 @@
         JobId job = placement.task().job();
         if (piece.cause() == Cause.ERROR) {
             placement.failed();
-            failedOn.computeIfAbsent(job, j -> new HashSet<>()).add(machine);
-            session.failures().merge(job, 1, Integer::sum);
-            judge(session);
+            if (blame.failed(session, job)) {
+                LOG.info("block {}: machine {} fails what it is given: no more work there", id(), machine);
+                session.markSick();
+                stir(session);
+                context.newsForLeader();
+            }
         } else if (piece.cause() == Cause.FULL || piece.cause() == Cause.IN_USE || piece.cause() == Cause.NO_SUCH) {
             LOG.info("block {}: {} refused {}: {}", id(), machine, placement.task(), piece.cause());
             placement.failed();
@@ -491,26 +492,6 @@
         }
     }
 
-    /**
-     * Tells a sick machine from a bad job: a machine is sick when several jobs fail there and none succeeds, or one
-     * that runs well elsewhere; a job that fails wherever it is tried says nothing about the machines.
-     */
-    private void judge(Session session) {
-        int blame = 0;
-        for (Map.Entry<JobId, Integer> failed : session.failures().entrySet()) {
-            boolean badEverywhere = failedOn.get(failed.getKey()).size() >= 3 && !succeeded.contains(failed.getKey());
-            if (!badEverywhere) {
-                blame += succeeded.contains(failed.getKey()) ? Math.min(2, failed.getValue()) : 1;
-            }
-        }
-        if (blame >= 2 && !session.isSick()) {
-            LOG.info("block {}: machine {} fails what it is given: no more work there", id(), session.machine().id());
-            session.markSick();
-            stir(session);
-            context.newsForLeader();
-        }
-    }
-
     /** Tasks bound to the machine that its complete report does not have. */
     private void freeMissing(Session session, boolean beat, SteadyTime now) {
         Set<TaskId> reported = new HashSet<>();
@@ -586,12 +567,22 @@
             stirred = true;
         }
         act();
-        fence();
+        if (!superseded) {
+            commands.fence();
+        }
+    }
+
+    /** A machine has answered a direct command. */
+    void answered(Session session, WorkerReport report) {
+        take(session, report, false);
+        act();
     }
 
     private void act() {
         settleChanges();
-        sendDirects();
+        if (!superseded) {
+            commands.sendUntold();
+        }
     }
 
     /** Lets what has changed follow the ledger, then starts what can start; costs next to nothing where nothing changed. */
@@ -648,6 +639,7 @@
                 sessions.get(machine).usedImage(placement.job().image(), placement.job().imageGb());
             }
         }
+        giveBackGangs(now);
         makeRoom(now);
         clearNoticed(now);
         clearLeaving(now);
@@ -699,6 +691,27 @@
         return images;
     }
 
+    /**
+     * A gang that has waited long may wait for ever: services that stay for hours can be all over the machines that it
+     * needs. The leader may know a better block by now.
+     */
+    private void giveBackGangs(SteadyTime now) {
+        for (Entry entry : Set.copyOf(entries.values())) {
+            Placement first = placements.get(entry.tasks().get(0));
+            if (entry.job().shape() != Shape.GANG) {
+                continue;
+            }
+            SteadyTime patient = first.since().plus(GANG_PATIENCE);
+            if (now.isBefore(patient)) {
+                wakeBy(patient);
+                continue;
+            }
+            dequeue(first.task());
+            entry.tasks().forEach(task -> placements.get(task).release(now));
+            context.newsForLeader();
+        }
+    }
+
     /** Stops work of lower priority for work that has waited a moment and fits nowhere. */
     private void makeRoom(SteadyTime now) {
         if (entries.isEmpty()) {
@@ -806,132 +819,6 @@
         return job.saves() ? job.saveTime().plus(Span.ofSeconds(1)) : Span.ZERO;
     }
 
-    // ---- commands ----
-
-    /** All that the machine should be told now; everything in it may be told again. */
-    private List<Order> orders(Session session) {
-        List<Order> orders = new ArrayList<>();
-        MachineId machine = session.machine().id();
-        Set<Attempt> present = new HashSet<>();
-        for (Piece piece : session.report().pieces()) {
-            present.add(piece.attempt());
-            Placement placement = placements.get(piece.task());
-            boolean ours = placement != null && placement.isBoundTo(machine, piece.attempt());
-            if (piece.state() == TaskState.EXITED) {
-                boolean keep = ours || placement != null && placement.state() == Placement.State.COMPLETED
-                        && placement.machine().equals(machine) && placement.attempt().equals(piece.attempt());
-                if (!keep && !session.mayStillStart(piece.attempt())) {
-                    orders.add(Order.forget(piece.task(), piece.attempt()));
-                }
-            } else if (!ours) {
-                orders.add(Order.stop(piece.task(), piece.attempt(), Span.ZERO));
-            } else if (placement.state() == Placement.State.STOPPING
-                    && (piece.state() != TaskState.SAVING || placement.grace().nanos() == 0)) {
-                orders.add(Order.stop(piece.task(), piece.attempt(), placement.grace()));
-            }
-        }
-        for (Placement placement : placements.on(machine)) {
-            if (placement.state() == Placement.State.STARTING && !present.contains(placement.attempt())) {
-                orders.add(Order.start(placement.task(), placement.attempt()));
-            }
-        }
-        return orders.size() > MOST_ORDERS ? orders.subList(0, MOST_ORDERS) : orders;
-    }
-
-    private void tell(List<Order> orders, long answerTo) {
-        for (Order order : orders) {
-            Placement placement = placements.get(order.task());
-            if (placement != null && placement.attempt().equals(order.attempt())) {
-                placement.tell(answerTo);
-            }
-        }
-    }
-
-    /** Sends starts and stops at once rather than with the answer to the next report. */
-    private void sendDirects() {
-        if (superseded) {
-            return;
-        }
-        Set<MachineId> untold = new LinkedHashSet<>();
-        for (Placement.State state : List.of(Placement.State.STARTING, Placement.State.STOPPING)) {
-            for (Placement placement : placements.in(state)) {
-                if (!placement.isTold()) {
-                    untold.add(placement.machine());
-                }
-            }
-        }
-        SteadyTime now = context.now();
-        for (MachineId machine : untold) {
-            Session session = sessions.get(machine);
-            if (session != null && session.state() == Session.State.FENCED && session.canSendDirect(now)) {
-                List<Order> orders = orders(session);
-                if (!orders.isEmpty()) {
-                    tell(orders, 0);
-                    sendDirect(session, orders);
-                }
-            }
-        }
-    }
-
-    private void sendDirect(Session session, List<Order> orders) {
-        Token sentWith = token();
-        Set<Attempt> starts = new HashSet<>();
-        for (Order order : orders) {
-            if (order.verb() == Order.Verb.START) {
-                starts.add(order.attempt());
-            }
-        }
-        session.directSent(starts);
-        LOG.debug("block {}: {} commands to {}", id(), orders.size(), session.machine().id());
-        HttpRequest request = HttpRequest.post(WorkerCodec.ORDERS,
-                WorkerCodec.writeDirect(sentWith, session.report().session(), orders));
-        context.http().call(session.machine().address(), request, DIRECT_TIMEOUT,
-                outcome -> directEnded(session, starts, sentWith, outcome));
-    }
-
-    private void directEnded(Session session, Set<Attempt> starts, Token sentWith, HttpOutcome outcome) {
-        WorkerReport report = readReport(outcome);
-        if (report == null) {
-            LOG.debug("block {}: no answer from {}, status {}", id(), session.machine().id(), outcome.status());
-            boolean mayHaveArrived = outcome.sent() && sentWith.equals(token());
-            session.directFailed(starts, mayHaveArrived, context.now().plus(DIRECT_RETRY));
-            return;
-        }
-        session.directAnswered(starts);
-        if (sessions.get(session.machine().id()) == session) {
-            take(session, report, false);
-            act();
-        }
-    }
-
-    private static WorkerReport readReport(HttpOutcome outcome) {
-        if (outcome.status() != 200 && outcome.status() != 409) {
-            return null;
-        }
-        try {
-            return WorkerCodec.readReport(Json.parseFields(outcome.response().body()));
-        } catch (BadMessage e) {
-            LOG.info("unreadable answer of a worker: {}", e.getMessage());
-            return null;
-        }
-    }
-
-    /** Shows unfenced machines the present token: asks for the session, then sends a command that commands nothing. */
-    private void fence() {
-        SteadyTime now = context.now();
-        for (Session session : sessions.values()) {
-            if (session.state() == Session.State.UNFENCED && session.canSendDirect(now) && !superseded && context.isEntitled()) {
-                if (session.report() != null) {
-                    sendDirect(session, List.of());
-                    continue;
-                }
-                session.directSent(Set.of());
-                context.http().call(session.machine().address(), HttpRequest.get(WorkerCodec.STATUS), DIRECT_TIMEOUT,
-                        outcome -> directEnded(session, Set.of(), token(), outcome));
-            }
-        }
-    }
-
     // ---- what others want to know ----
 
     /** Completed tasks whose completion is not yet durable. */
--- /dev/null
+++ b/src/main/java/org/quincecross/block/Commands.java
@@ -0,0 +1,167 @@
+package org.quincecross.block;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.quincecross.http.HttpRequest;
+import org.quincecross.model.Attempt;
+import org.quincecross.model.MachineId;
+import org.quincecross.model.Span;
+import org.quincecross.model.SteadyTime;
+import org.quincecross.model.Token;
+import org.quincecross.net.HttpOutcome;
+import org.quincecross.wire.BadMessage;
+import org.quincecross.wire.Json;
+import org.quincecross.wire.Order;
+import org.quincecross.wire.WorkerCodec;
+import org.quincecross.wire.WorkerReport;
+import org.quincecross.wire.WorkerReport.Piece;
+import org.quincecross.wire.WorkerReport.TaskState;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * What a holder tells its machines, beside the answers to their reports: starts and stops at once, and the present token
+ * to those that have not shown it.
+ */
+final class Commands {
+    private static final Logger LOG = LoggerFactory.getLogger(Commands.class);
+    private static final Span DIRECT_TIMEOUT = Span.ofSeconds(1.5);
+    private static final Span DIRECT_RETRY = Span.ofSeconds(1);
+    private static final int MOST_ORDERS = 300;
+
+    private final HolderContext context;
+    private final BlockHolder holder;
+    private final Placements placements;
+    private final Map<MachineId, Session> sessions;
+
+    Commands(HolderContext context, BlockHolder holder, Placements placements, Map<MachineId, Session> sessions) {
+        this.context = context;
+        this.holder = holder;
+        this.placements = placements;
+        this.sessions = sessions;
+    }
+
+    /** All that the machine should be told now; everything in it may be told again. */
+    List<Order> orders(Session session) {
+        List<Order> orders = new ArrayList<>();
+        MachineId machine = session.machine().id();
+        Set<Attempt> present = new HashSet<>();
+        for (Piece piece : session.report().pieces()) {
+            present.add(piece.attempt());
+            Placement placement = placements.get(piece.task());
+            boolean ours = placement != null && placement.isBoundTo(machine, piece.attempt());
+            if (piece.state() == TaskState.EXITED) {
+                boolean keep = ours || placement != null && placement.state() == Placement.State.COMPLETED
+                        && placement.machine().equals(machine) && placement.attempt().equals(piece.attempt());
+                if (!keep && !session.mayStillStart(piece.attempt())) {
+                    orders.add(Order.forget(piece.task(), piece.attempt()));
+                }
+            } else if (!ours) {
+                orders.add(Order.stop(piece.task(), piece.attempt(), Span.ZERO));
+            } else if (placement.state() == Placement.State.STOPPING
+                    && (piece.state() != TaskState.SAVING || placement.grace().nanos() == 0)) {
+                orders.add(Order.stop(piece.task(), piece.attempt(), placement.grace()));
+            }
+        }
+        for (Placement placement : placements.on(machine)) {
+            if (placement.state() == Placement.State.STARTING && !present.contains(placement.attempt())) {
+                orders.add(Order.start(placement.task(), placement.attempt()));
+            }
+        }
+        return orders.size() > MOST_ORDERS ? orders.subList(0, MOST_ORDERS) : orders;
+    }
+
+    void tell(List<Order> orders, long answerTo) {
+        for (Order order : orders) {
+            Placement placement = placements.get(order.task());
+            if (placement != null && placement.attempt().equals(order.attempt())) {
+                placement.tell(answerTo);
+            }
+        }
+    }
+
+    /** Sends starts and stops at once rather than with the answer to the next report. */
+    void sendUntold() {
+        Set<MachineId> untold = new LinkedHashSet<>();
+        for (Placement.State state : List.of(Placement.State.STARTING, Placement.State.STOPPING)) {
+            for (Placement placement : placements.in(state)) {
+                if (!placement.isTold()) {
+                    untold.add(placement.machine());
+                }
+            }
+        }
+        SteadyTime now = context.now();
+        for (MachineId machine : untold) {
+            Session session = sessions.get(machine);
+            if (session != null && session.state() == Session.State.FENCED && session.canSendDirect(now)) {
+                List<Order> orders = orders(session);
+                if (!orders.isEmpty()) {
+                    tell(orders, 0);
+                    sendDirect(session, orders);
+                }
+            }
+        }
+    }
+
+    private void sendDirect(Session session, List<Order> orders) {
+        Token sentWith = holder.lease().token();
+        Set<Attempt> starts = new HashSet<>();
+        for (Order order : orders) {
+            if (order.verb() == Order.Verb.START) {
+                starts.add(order.attempt());
+            }
+        }
+        session.directSent(starts);
+        LOG.debug("block {}: {} commands to {}", holder.id(), orders.size(), session.machine().id());
+        HttpRequest request = HttpRequest.post(WorkerCodec.ORDERS,
+                WorkerCodec.writeDirect(sentWith, session.report().session(), orders));
+        context.http().call(session.machine().address(), request, DIRECT_TIMEOUT,
+                outcome -> directEnded(session, starts, sentWith, outcome));
+    }
+
+    private void directEnded(Session session, Set<Attempt> starts, Token sentWith, HttpOutcome outcome) {
+        WorkerReport report = readReport(outcome);
+        if (report == null) {
+            LOG.debug("block {}: no answer from {}, status {}", holder.id(), session.machine().id(), outcome.status());
+            boolean mayHaveArrived = outcome.sent() && sentWith.equals(holder.lease().token());
+            session.directFailed(starts, mayHaveArrived, context.now().plus(DIRECT_RETRY));
+            return;
+        }
+        session.directAnswered(starts);
+        if (sessions.get(session.machine().id()) == session) {
+            holder.answered(session, report);
+        }
+    }
+
+    private static WorkerReport readReport(HttpOutcome outcome) {
+        if (outcome.status() != 200 && outcome.status() != 409) {
+            return null;
+        }
+        try {
+            return WorkerCodec.readReport(Json.parseFields(outcome.response().body()));
+        } catch (BadMessage e) {
+            LOG.info("unreadable answer of a worker: {}", e.getMessage());
+            return null;
+        }
+    }
+
+    /** Shows unfenced machines the present token: asks for the session, then sends a command that commands nothing. */
+    void fence() {
+        SteadyTime now = context.now();
+        for (Session session : sessions.values()) {
+            if (session.state() == Session.State.UNFENCED && session.canSendDirect(now) && context.isEntitled()) {
+                if (session.report() != null) {
+                    sendDirect(session, List.of());
+                    continue;
+                }
+                session.directSent(Set.of());
+                context.http().call(session.machine().address(), HttpRequest.get(WorkerCodec.STATUS), DIRECT_TIMEOUT,
+                        outcome -> directEnded(session, Set.of(), holder.lease().token(), outcome));
+            }
+        }
+    }
+}
--- a/src/main/java/org/quincecross/leader/Leader.java
+++ b/src/main/java/org/quincecross/leader/Leader.java
@@ -10,12 +10,10 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.TreeSet;
 import java.util.function.LongSupplier;
 import org.quincecross.model.BlockId;
 import org.quincecross.model.Job;
 import org.quincecross.model.JobId;
-import org.quincecross.model.JobPhase;
 import org.quincecross.model.Machine;
 import org.quincecross.model.MachineId;
 import org.quincecross.model.MachineType;
@@ -23,7 +21,6 @@
 import org.quincecross.model.Rank;
 import org.quincecross.model.Resources;
 import org.quincecross.model.Revision;
-import org.quincecross.model.Shape;
 import org.quincecross.model.Span;
 import org.quincecross.model.SteadyTime;
 import org.quincecross.model.TaskId;
@@ -36,7 +33,6 @@
 import org.quincecross.sched.Reserve;
 import org.quincecross.state.Allocation;
 import org.quincecross.state.BlockLease;
-import org.quincecross.state.DoneTasks;
 import org.quincecross.state.Follower;
 import org.quincecross.state.JobRecord;
 import org.quincecross.state.Keys;
@@ -63,21 +59,9 @@
     private static final Span TICK = Span.ofMillis(100);
     /** Plans are at least this far apart: what comes together is planned together. */
     private static final Span PLAN_SPACING = Span.ofMillis(40);
-    private static final Span GATHER_RESULTS = Span.ofSeconds(1.5);
     private static final Span MOST_GATHERING = Span.ofSeconds(2);
-    /** "Neighbours start at six similar machines per block." */
-    private static final int LEAST_BLOCK_SIZE = 6;
-    /** So many blocks for each change a second: with more, each block's allocation could be written too seldom. */
-    private static final double BLOCKS_PER_CHANGE = 0.6;
-    /** Of the record of a block's tasks, what one task in a job of its own takes; see {@link Admission.Block}. */
-    private static final int BYTES_PER_TASK = 14;
     private static final Span SWEEP_EVERY = Span.ofSeconds(10);
-    private static final Span REBALANCE_EVERY = Span.ofSeconds(8);
-    /** Moving a block costs a moment and what its holder has learnt of it: a small gain is not worth that. */
-    private static final int REBALANCE_GAIN = 4;
     private static final Span UNCONFIRMED = Span.ofSeconds(2);
-    private static final Span UNHEARD = Span.ofSeconds(4);
-    private static final Span REPORT_FRESH = Span.ofSeconds(2.5);
     /** A job that nobody waits for by a certain time comes after those of about an hour's patience. */
     private static final double NO_DEADLINE_S = 3600;
     /** Estimates are often too high by half: a job that has less of its estimated time left will be late. */
@@ -106,12 +90,12 @@
     private final Set<BlockId> stale = new HashSet<>();
     private final Map<MemberId, Boolean> wasFresh = new HashMap<>();
     private final Map<BlockId, SteadyTime> writtenAt = new HashMap<>();
-    private final Map<MachineId, Machine> newcomers = new LinkedHashMap<>();
-    private final Map<JobId, SteadyTime> resultsSince = new HashMap<>();
+    private final FreshViews fresh;
+    private final Leases leases;
+    private final Results results;
     private State state = State.FOLLOWING;
     private boolean writing;
     private Revision awaited = Revision.NONE;
-    private SteadyTime rebalanced;
     private SteadyTime planned;
     private SteadyTime swept;
     private boolean stepPlanned;
@@ -129,8 +113,10 @@
         this.foresight = foresight;
         this.views = views;
         this.books = new Books(ledger);
+        this.fresh = new FreshViews(timers, ledger, views);
+        this.leases = new Leases(timers, ledger, settings, fleet, foresight, books, fresh);
+        this.results = new Results(timers, ledger, views, books);
         this.clockMs = clockMs;
-        this.rebalanced = timers.now();
         this.planned = timers.now();
         this.swept = timers.now();
     }
@@ -168,7 +154,7 @@
 
     /** A machine that is in no block reports. */
     public void newcomer(Machine machine) {
-        if (newcomers.put(machine.id(), machine) == null) {
+        if (leases.newcomer(machine)) {
             soon();
         }
     }
@@ -201,7 +187,7 @@
         if (!leadsByLedger()) {
             enter(State.FOLLOWING);
             client.lead(false);
-            newcomers.clear();
+            leases.forgetNewcomers();
             fleet.stop();
             if (ledger.leader() == null && membership.isLive()) {
                 stand();
@@ -285,16 +271,16 @@
         TxnPlan plan = new TxnPlan(ledger, changes, settings.stateLimits().valueBytes() - VALUE_MARGIN);
         plan.guard(Keys.LEADER);
         planTypes(plan);
-        Set<BlockId> leased = planLeases(plan);
+        Set<BlockId> leased = leases.plan(plan);
         // Neither results nor starts may crowd the other out of a small budget.
         resultsFirst = !resultsFirst;
-        Map<JobId, TaskSet> completed = completions();
+        Map<JobId, TaskSet> completed = results.completions();
         if (resultsFirst) {
-            planResults(plan, completed);
+            results.plan(plan, completed);
         }
         planAllocations(plan, leased, completed);
         if (!resultsFirst) {
-            planResults(plan, completed);
+            results.plan(plan, completed);
         }
         if (plan.isEmpty()) {
             planSweep(plan);
@@ -322,331 +308,6 @@
         }
     }
 
-    private List<MemberRecord> members() {
-        return List.copyOf(ledger.members().values());
-    }
-
-    /** The member to lease a block to: the one with the fewest machines, and of those one in the block's zone. */
-    private MemberRecord chooseHolder(String zone, Map<MemberId, Integer> load) {
-        MemberRecord best = null;
-        for (MemberRecord member : members()) {
-            if (best == null || cost(member, zone, load) < cost(best, zone, load)) {
-                best = member;
-            }
-        }
-        return best;
-    }
-
-    private static double cost(MemberRecord member, String zone, Map<MemberId, Integer> load) {
-        return load.getOrDefault(member.member(), 0) + (member.zone().equals(zone) ? 0 : 2.5);
-    }
-
-    private Map<MemberId, Integer> machinesHeld() {
-        Map<MemberId, Integer> load = new HashMap<>();
-        for (BlockLease block : ledger.blocks().values()) {
-            load.merge(block.holder(), block.machines().size(), Integer::sum);
-        }
-        return load;
-    }
-
-    /** Leases blocks of dead holders anew, takes machines in and out; returns the blocks changed. */
-    private Set<BlockId> planLeases(TxnPlan plan) {
-        Map<BlockId, BlockLease> next = new TreeMap<>();
-        Set<BlockId> deleted = new HashSet<>();
-        Map<MemberId, Integer> load = machinesHeld();
-        Map<BlockId, Set<MachineId>> going = new HashMap<>();
-        for (MachineId machine : fleet.leaving()) {
-            BlockLease block = ledger.blockOf(machine);
-            if (block != null) {
-                going.computeIfAbsent(block.id(), id -> new HashSet<>()).add(machine);
-            }
-        }
-        for (BlockLease block : ledger.blocks().values()) {
-            BlockLease changed = without(block, going.getOrDefault(block.id(), Set.of()));
-            if (changed.machines().isEmpty()) {
-                // No machine is left, so no task of it is anywhere: all of them go back to the pool.
-                if (plan.room() >= 2) {
-                    plan.delete(Keys.block(block.id()));
-                    if (ledger.version(Keys.allocation(block.id())).number() != 0) {
-                        plan.delete(Keys.allocation(block.id()));
-                    }
-                    deleted.add(block.id());
-                }
-                continue;
-            }
-            MemberRecord holder = ledger.members().get(block.holder());
-            if (holder == null || !holder.life().equals(block.life())) {
-                load.merge(block.holder(), -block.machines().size(), Integer::sum);
-                MemberRecord chosen = chooseHolder(block.zone(), load);
-                if (chosen != null) {
-                    LOG.info("block {} goes from {} to {}", block.id(), block.holder(), chosen.member());
-                    load.merge(chosen.member(), block.machines().size(), Integer::sum);
-                    changed = changed.heldBy(chosen);
-                }
-            }
-            if (changed != block) {
-                next.put(block.id(), changed);
-            }
-        }
-        rescueUnheard(next, deleted);
-        if (next.isEmpty() && deleted.isEmpty()) {
-            rebalance(next, load);
-        }
-        takeIn(next, deleted, load);
-        next.values().removeIf(block -> !plan.put(Keys.block(block.id()), block.write()));
-        Set<BlockId> touched = new HashSet<>(next.keySet());
-        touched.addAll(deleted);
-        return touched;
-    }
-
-    private BlockLease without(BlockLease block, Set<MachineId> going) {
-        BlockLease changed = block;
-        for (MachineId machine : going) {
-            if (fleet.isGone(machine)) {
-                changed = changed.without(machine);
-            } else if (!block.leaving().contains(machine)) {
-                changed = changed.leaving(machine);
-            }
-        }
-        return changed;
-    }
-
-    /** A holder whose machines report to another controller is cut off from them: that one gets the block. */
-    private void rescueUnheard(Map<BlockId, BlockLease> next, Set<BlockId> deleted) {
-        Map<BlockId, Map<MemberId, Integer>> hearing = new HashMap<>();
-        for (MemberRecord member : members()) {
-            PeerViews.View view = freshView(member.member());
-            for (MachineId machine : view == null ? Set.<MachineId>of() : view.strays()) {
-                BlockLease block = ledger.blockOf(machine);
-                if (block != null && !block.holder().equals(member.member()) && isSilent(block, machine)) {
-                    hearing.computeIfAbsent(block.id(), id -> new TreeMap<>()).merge(member.member(), 1, Integer::sum);
-                }
-            }
-        }
-        hearing.forEach((id, members) -> members.forEach((member, machines) -> {
-            BlockLease block = ledger.blocks().get(id);
-            if (machines * 2 > block.machines().size() && !next.containsKey(id) && !deleted.contains(id)) {
-                LOG.info("block {} goes from {}, which does not hear it, to {}", id, block.holder(), member);
-                next.put(id, block.heldBy(ledger.members().get(member)));
-            }
-        }));
-    }
-
-    /** Whether a block's holder does not hear a machine; a holder that has not reported yet says nothing of that. */
-    private boolean isSilent(BlockLease block, MachineId machine) {
-        PeerViews.BlockView view = blockView(block);
-        PeerReport.MachineState state = view == null ? null : view.machines().get(machine);
-        return state != null && state.silent().isMoreThan(UNHEARD);
-    }
-
-    /** Moves one block to a controller that has much less to do, now and then. */
-    private void rebalance(Map<BlockId, BlockLease> next, Map<MemberId, Integer> load) {
-        if (REBALANCE_EVERY.isMoreThan(timers.now().since(rebalanced))) {
-            return;
-        }
-        rebalanced = timers.now();
-        for (BlockLease block : ledger.blocks().values()) {
-            for (MemberRecord member : members()) {
-                int size = block.machines().size();
-                int gain = load.getOrDefault(block.holder(), 0) - load.getOrDefault(member.member(), 0) - size;
-                PeerViews.BlockView view = blockView(block);
-                boolean calm = view != null && view.machines().values().stream().allMatch(PeerReport.MachineState::fenced);
-                if (gain > REBALANCE_GAIN && calm) {
-                    LOG.info("block {} goes from {} to {} to share the load", block.id(), block.holder(), member.member());
-                    next.put(block.id(), block.heldBy(member));
-                    return;
-                }
-            }
-        }
-    }
-
-    /** How many machines a block may have: the more machines and the fewer changes a second, the more. */
-    private int mostMachines(MachineType type) {
-        int all = fleet.expected();
-        double bySize = Math.ceil(all / (BLOCKS_PER_CHANGE * settings.stateLimits().writesPerS()));
-        Resources small = foresight.urgentTask();
-        int tasks = Math.max(1, small.cpus() > 0 ? type.capacity().count(small) : (int) type.capacity().cpus());
-        int byRecord = Math.max(LEAST_BLOCK_SIZE, settings.stateLimits().valueBytes() / BYTES_PER_TASK / tasks);
-        return (int) Math.max(Math.max(LEAST_BLOCK_SIZE, largestGang(type)), Math.min(bySize, byRecord));
-    }
-
-    /** How many machines of a type the largest gang needs that waits: the machines rented for it make a block so large. */
-    private int largestGang(MachineType type) {
-        int most = 0;
-        for (JobId id : books.waiting()) {
-            Job job = books.account(id).job();
-            int each = type.capacity().count(job.each());
-            if (job.shape() == Shape.GANG && each > 0 && (job.types() == null || job.types().contains(type.name()))) {
-                most = Math.max(most, (job.tasks() + each - 1) / each);
-            }
-        }
-        return most;
-    }
-
-    private record Kind(String type, String zone, boolean spot) {
-        static Kind of(BlockLease block) {
-            return new Kind(block.type(), block.zone(), block.spot());
-        }
-    }
-
-    private void takeIn(Map<BlockId, BlockLease> next, Set<BlockId> deleted, Map<MemberId, Integer> load) {
-        newcomers.keySet().removeIf(machine -> ledger.blockOf(machine) != null || fleet.isGone(machine));
-        if (newcomers.isEmpty() || members().isEmpty()) {
-            return;
-        }
-        Map<Kind, List<BlockId>> withRoom = new HashMap<>();
-        ledger.blocks().values().forEach(block -> {
-            if (!deleted.contains(block.id())) {
-                withRoom.computeIfAbsent(Kind.of(block), kind -> new ArrayList<>()).add(block.id());
-            }
-        });
-        for (Machine machine : newcomers.values()) {
-            MachineType type = ledger.types().get(machine.type());
-            if (type == null) {
-                continue;
-            }
-            int most = mostMachines(type);
-            BlockLease home = null;
-            List<BlockId> homes = withRoom.computeIfAbsent(new Kind(machine.type(), machine.zone(), machine.spot()),
-                    kind -> new ArrayList<>());
-            while (home == null && !homes.isEmpty()) {
-                BlockLease block = next.getOrDefault(homes.get(0), ledger.blocks().get(homes.get(0)));
-                if (block.machines().size() < most) {
-                    home = block;
-                } else {
-                    homes.remove(0);
-                }
-            }
-            if (home != null) {
-                next.put(home.id(), home.with(machine));
-                load.merge(home.holder(), 1, Integer::sum);
-            } else {
-                MemberRecord holder = chooseHolder(machine.zone(), load);
-                BlockLease made = BlockLease.first(new BlockId("b-" + machine.id()), holder, machine);
-                load.merge(holder.member(), 1, Integer::sum);
-                next.put(made.id(), made);
-                homes.add(made.id());
-            }
-        }
-    }
-
-    /** What a controller has told lately, or null. */
-    private PeerViews.View freshView(MemberId member) {
-        PeerViews.View view = views.of(member);
-        return view == null || !ledger.members().containsKey(member)
-                || timers.now().since(view.at()).isMoreThan(REPORT_FRESH) ? null : view;
-    }
-
-    /** What the holder of a block last said of it, if that is recent and of the present lease. */
-    private PeerViews.BlockView blockView(BlockLease block) {
-        PeerViews.View view = freshView(block.holder());
-        PeerViews.BlockView known = view == null ? null : view.blocks().get(block.id());
-        return known != null && known.token().equals(block.token()) ? known : null;
-    }
-
-    // ---- results ----
-
-    /** Makes completions durable; a job whose last task is done becomes done in the same stroke. */
-    private void planResults(TxnPlan plan, Map<JobId, TaskSet> fresh) {
-        SteadyTime now = timers.now();
-        resultsSince.keySet().retainAll(fresh.keySet());
-        boolean due = false;
-        Map<JobId, TaskSet> unfinished = new LinkedHashMap<>();
-        for (Map.Entry<JobId, TaskSet> entry : fresh.entrySet()) {
-            JobId id = entry.getKey();
-            Books.Account account = books.account(id);
-            TaskSet all = account.done().copy();
-            all.addAll(entry.getValue());
-            if (all.size() < account.job().tasks()) {
-                // Its machine keeps the result until it is durable, so a part of a job may wait for more of it.
-                due |= now.since(resultsSince.computeIfAbsent(id, j -> now)).isMoreThan(GATHER_RESULTS);
-                unfinished.put(id, all);
-            } else {
-                plan.put(Keys.job(id), JobRecord.done());
-            }
-        }
-        if (due) {
-            planParts(plan, unfinished, fresh);
-        }
-    }
-
-    /** Writes the done tasks of unfinished jobs: most share pages, so that one change serves many jobs. */
-    private void planParts(TxnPlan plan, Map<JobId, TaskSet> unfinished, Map<JobId, TaskSet> fresh) {
-        Map<Integer, Map<JobId, TaskSet>> pages = new TreeMap<>();
-        ledger.pages().forEach((page, sets) -> {
-            Map<JobId, TaskSet> kept = new LinkedHashMap<>();
-            sets.forEach((job, set) -> {
-                if (books.account(job) != null) {
-                    kept.put(job, set);
-                }
-            });
-            pages.put(page, kept);
-        });
-        Set<Integer> changed = new TreeSet<>();
-        unfinished.forEach((id, all) -> {
-            if (!DoneTasks.fitsPage(all) || ledger.hasChunks(id)) {
-                planChunks(plan, id, all, fresh.get(id));
-                return;
-            }
-            int page = 0;
-            while (pages.containsKey(page) && !pages.get(page).containsKey(id) && !hasRoom(plan, pages.get(page), id, all)) {
-                page++;
-            }
-            for (Map.Entry<Integer, Map<JobId, TaskSet>> other : pages.entrySet()) {
-                if (other.getValue().containsKey(id)) {
-                    page = hasRoom(plan, other.getValue(), id, all) ? other.getKey() : page;
-                }
-            }
-            pages.computeIfAbsent(page, p -> new LinkedHashMap<>()).put(id, all);
-            changed.add(page);
-        });
-        for (int page : changed) {
-            Map<String, Object> value = DoneTasks.writePage(pages.get(page));
-            if (plan.fits(value)) {
-                plan.put(Keys.page(page), value);
-            }
-        }
-    }
-
-    private static boolean hasRoom(TxnPlan plan, Map<JobId, TaskSet> page, JobId id, TaskSet all) {
-        Map<JobId, TaskSet> next = new LinkedHashMap<>(page);
-        next.put(id, all);
-        return plan.fits(DoneTasks.writePage(next));
-    }
-
-    /** The done tasks of a job that is too large for a page. */
-    private static void planChunks(TxnPlan plan, JobId id, TaskSet all, TaskSet fresh) {
-        Set<Integer> chunks = new TreeSet<>();
-        for (int i = all.next(0); i >= 0; i = all.next((i / DoneTasks.CHUNK + 1) * DoneTasks.CHUNK)) {
-            chunks.add(i / DoneTasks.CHUNK);
-        }
-        for (int chunk : chunks) {
-            plan.put(Keys.done(id, chunk), DoneTasks.write(all, chunk));
-        }
-    }
-
-    /** The completions that holders report and that are not durable yet. */
-    private Map<JobId, TaskSet> completions() {
-        Map<JobId, TaskSet> fresh = new LinkedHashMap<>();
-        for (PeerViews.View view : views.all()) {
-            for (PeerViews.BlockView block : view.blocks().values()) {
-                for (TaskId task : block.completed()) {
-                    JobRecord job = ledger.job(task.job());
-                    if (job != null && job.phase() == JobPhase.OPEN && task.index() < job.job().tasks()
-                            && !ledger.isDone(task.job(), task.index())) {
-                        TaskSet done = fresh.computeIfAbsent(task.job(), id -> new TaskSet());
-                        done.add(task.index());
-                        // A gang completes as one, also where the machine of one of its tasks is lost right after.
-                        for (int i = 0; job.job().shape() == Shape.GANG && i < job.job().tasks(); i++) {
-                            done.add(i);
-                        }
-                    }
-                }
-            }
-        }
-        return fresh;
-    }
-
     // ---- allocations ----
 
     private void planAllocations(TxnPlan plan, Set<BlockId> leased, Map<JobId, TaskSet> completed) {
@@ -703,8 +364,8 @@
     private void refreshAdmissionBlocks(Map<JobId, TaskSet> completed) {
         toLookAt.addAll(books.takeChangedBlocks());
         for (MemberId member : ledger.members().keySet()) {
-            boolean fresh = freshView(member) != null;
-            if (wasFresh.put(member, fresh) != (Boolean) fresh) {
+            boolean isFresh = fresh.of(member) != null;
+            if (!Boolean.valueOf(isFresh).equals(wasFresh.put(member, isFresh))) {
                 toLookAt.addAll(ledger.blocks().keySet());
             }
         }
@@ -744,27 +405,29 @@
      */
     private List<TaskId> released(BlockId id) {
         BlockLease lease = ledger.blocks().get(id);
-        PeerViews.BlockView view = lease == null ? null : blockView(lease);
+        PeerViews.BlockView view = lease == null ? null : fresh.of(lease);
         return view != null && view.allocation().equals(ledger.allocation(id).version()) ? view.released() : List.of();
     }
 
     private Admission.Block admissionBlock(BlockLease lease) {
         MachineType type = ledger.types().get(lease.type());
-        PeerViews.BlockView view = blockView(lease);
-        int open = 0;
+        PeerViews.BlockView view = fresh.of(lease);
+        List<Resources> free = new ArrayList<>();
+        List<Resources> soon = new ArrayList<>();
         Map<String, Admission.ImageRoom> images = new HashMap<>();
         if (view != null) {
             for (MachineId machine : lease.machines().keySet()) {
                 PeerReport.MachineState state = view.machines().get(machine);
                 if (state != null && state.open() && !lease.leaving().contains(machine)) {
-                    open++;
+                    free.add(state.free());
+                    soon.add(state.free().plus(state.yielding()));
                     Admission.ImageRoom room = new Admission.ImageRoom(state.free(), state.yielding());
                     state.images().forEach(image -> images.merge(image, room, Admission.ImageRoom::plus));
                 }
             }
         }
-        Resources capacity = type == null ? Resources.NONE : type.capacity().times(open);
-        return new Admission.Block(lease.id(), lease.type(), lease.zone(), lease.spot(), capacity, open, images,
+        Resources capacity = type == null ? Resources.NONE : type.capacity().times(free.size());
+        return new Admission.Block(lease.id(), lease.type(), lease.zone(), lease.spot(), capacity, free, soon, images,
                 settings.stateLimits().valueBytes() - VALUE_MARGIN);
     }
 
@@ -834,7 +497,7 @@
         Map<MachineId, PeerReport.MachineState> states = new HashMap<>();
         Set<MachineId> strays = new HashSet<>();
         for (BlockLease block : ledger.blocks().values()) {
-            PeerViews.BlockView view = blockView(block);
+            PeerViews.BlockView view = fresh.of(block);
             for (MachineId machine : view == null ? Set.<MachineId>of() : block.machines().keySet()) {
                 PeerReport.MachineState state = view.machines().get(machine);
                 if (state != null) {
@@ -843,7 +506,7 @@
             }
         }
         for (MemberId member : ledger.members().keySet()) {
-            PeerViews.View view = freshView(member);
+            PeerViews.View view = fresh.of(member);
             if (view != null) {
                 strays.addAll(view.strays());
             }
--- /dev/null
+++ b/src/main/java/org/quincecross/leader/Leases.java
@@ -0,0 +1,285 @@
+package org.quincecross.leader;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.quincecross.model.BlockId;
+import org.quincecross.model.Job;
+import org.quincecross.model.JobId;
+import org.quincecross.model.Machine;
+import org.quincecross.model.MachineId;
+import org.quincecross.model.MachineType;
+import org.quincecross.model.MemberId;
+import org.quincecross.model.Resources;
+import org.quincecross.model.Shape;
+import org.quincecross.model.Span;
+import org.quincecross.model.SteadyTime;
+import org.quincecross.net.Timers;
+import org.quincecross.peer.PeerReport;
+import org.quincecross.peer.PeerViews;
+import org.quincecross.state.BlockLease;
+import org.quincecross.state.Foresight;
+import org.quincecross.state.Keys;
+import org.quincecross.state.Ledger;
+import org.quincecross.state.MemberRecord;
+import org.quincecross.wire.Settings;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Which controller holds which block, and which machines are in it: blocks are made, moved, filled and emptied here. */
+final class Leases {
+    private static final Logger LOG = LoggerFactory.getLogger(Leases.class);
+    /** "Neighbours start at six similar machines per block." */
+    private static final int LEAST_BLOCK_SIZE = 6;
+    /** So many blocks for each change a second: with more, each block's allocation could be written too seldom. */
+    private static final double BLOCKS_PER_CHANGE = 0.6;
+    /** Of the record of a block's tasks, what a task takes; alone in its job 14, in an array 4. Admission keeps the limit. */
+    private static final int BYTES_PER_TASK = 8;
+    private static final Span REBALANCE_EVERY = Span.ofSeconds(8);
+    /** Moving a block costs a moment and what its holder has learnt of it: a small gain is not worth that. */
+    private static final int REBALANCE_GAIN = 4;
+    private static final Span UNHEARD = Span.ofSeconds(4);
+
+    private final Timers timers;
+    private final Ledger ledger;
+    private final Settings settings;
+    private final Fleet fleet;
+    private final Foresight foresight;
+    private final Books books;
+    private final FreshViews fresh;
+    private final Map<MachineId, Machine> newcomers = new LinkedHashMap<>();
+    private SteadyTime rebalanced;
+
+    Leases(Timers timers, Ledger ledger, Settings settings, Fleet fleet, Foresight foresight, Books books, FreshViews fresh) {
+        this.timers = timers;
+        this.ledger = ledger;
+        this.settings = settings;
+        this.fleet = fleet;
+        this.foresight = foresight;
+        this.books = books;
+        this.fresh = fresh;
+        this.rebalanced = timers.now();
+    }
+
+    /** A machine that is in no block reports; false if that is known already. */
+    boolean newcomer(Machine machine) {
+        return newcomers.put(machine.id(), machine) == null;
+    }
+
+    void forgetNewcomers() {
+        newcomers.clear();
+    }
+
+    private List<MemberRecord> members() {
+        return List.copyOf(ledger.members().values());
+    }
+
+    /** The member to lease a block to: the one with the fewest machines, and of those one in the block's zone. */
+    private MemberRecord chooseHolder(String zone, Map<MemberId, Integer> load) {
+        MemberRecord best = null;
+        for (MemberRecord member : members()) {
+            if (best == null || cost(member, zone, load) < cost(best, zone, load)) {
+                best = member;
+            }
+        }
+        return best;
+    }
+
+    private static double cost(MemberRecord member, String zone, Map<MemberId, Integer> load) {
+        return load.getOrDefault(member.member(), 0) + (member.zone().equals(zone) ? 0 : 2.5);
+    }
+
+    private Map<MemberId, Integer> machinesHeld() {
+        Map<MemberId, Integer> load = new HashMap<>();
+        for (BlockLease block : ledger.blocks().values()) {
+            load.merge(block.holder(), block.machines().size(), Integer::sum);
+        }
+        return load;
+    }
+
+    /** Leases blocks of dead holders anew, takes machines in and out; returns the blocks changed. */
+    Set<BlockId> plan(TxnPlan plan) {
+        Map<BlockId, BlockLease> next = new TreeMap<>();
+        Set<BlockId> deleted = new HashSet<>();
+        Map<MemberId, Integer> load = machinesHeld();
+        Map<BlockId, Set<MachineId>> going = new HashMap<>();
+        for (MachineId machine : fleet.leaving()) {
+            BlockLease block = ledger.blockOf(machine);
+            if (block != null) {
+                going.computeIfAbsent(block.id(), id -> new HashSet<>()).add(machine);
+            }
+        }
+        for (BlockLease block : ledger.blocks().values()) {
+            BlockLease changed = without(block, going.getOrDefault(block.id(), Set.of()));
+            if (changed.machines().isEmpty()) {
+                // No machine is left, so no task of it is anywhere: all of them go back to the pool.
+                if (plan.room() >= 2) {
+                    plan.delete(Keys.block(block.id()));
+                    if (ledger.version(Keys.allocation(block.id())).number() != 0) {
+                        plan.delete(Keys.allocation(block.id()));
+                    }
+                    deleted.add(block.id());
+                }
+                continue;
+            }
+            MemberRecord holder = ledger.members().get(block.holder());
+            if (holder == null || !holder.life().equals(block.life())) {
+                load.merge(block.holder(), -block.machines().size(), Integer::sum);
+                MemberRecord chosen = chooseHolder(block.zone(), load);
+                if (chosen != null) {
+                    LOG.info("block {} goes from {} to {}", block.id(), block.holder(), chosen.member());
+                    load.merge(chosen.member(), block.machines().size(), Integer::sum);
+                    changed = changed.heldBy(chosen);
+                }
+            }
+            if (changed != block) {
+                next.put(block.id(), changed);
+            }
+        }
+        rescueUnheard(next, deleted);
+        if (next.isEmpty() && deleted.isEmpty()) {
+            rebalance(next, load);
+        }
+        takeIn(next, deleted, load);
+        next.values().removeIf(block -> !plan.put(Keys.block(block.id()), block.write()));
+        Set<BlockId> touched = new HashSet<>(next.keySet());
+        touched.addAll(deleted);
+        return touched;
+    }
+
+    private BlockLease without(BlockLease block, Set<MachineId> going) {
+        BlockLease changed = block;
+        for (MachineId machine : going) {
+            if (fleet.isGone(machine)) {
+                changed = changed.without(machine);
+            } else if (!block.leaving().contains(machine)) {
+                changed = changed.leaving(machine);
+            }
+        }
+        return changed;
+    }
+
+    /** A holder whose machines report to another controller is cut off from them: that one gets the block. */
+    private void rescueUnheard(Map<BlockId, BlockLease> next, Set<BlockId> deleted) {
+        Map<BlockId, Map<MemberId, Integer>> hearing = new HashMap<>();
+        for (MemberRecord member : members()) {
+            PeerViews.View view = fresh.of(member.member());
+            for (MachineId machine : view == null ? Set.<MachineId>of() : view.strays()) {
+                BlockLease block = ledger.blockOf(machine);
+                if (block != null && !block.holder().equals(member.member()) && isSilent(block, machine)) {
+                    hearing.computeIfAbsent(block.id(), id -> new TreeMap<>()).merge(member.member(), 1, Integer::sum);
+                }
+            }
+        }
+        hearing.forEach((id, members) -> members.forEach((member, machines) -> {
+            BlockLease block = ledger.blocks().get(id);
+            if (machines * 2 > block.machines().size() && !next.containsKey(id) && !deleted.contains(id)) {
+                LOG.info("block {} goes from {}, which does not hear it, to {}", id, block.holder(), member);
+                next.put(id, block.heldBy(ledger.members().get(member)));
+            }
+        }));
+    }
+
+    /** Whether a block's holder does not hear a machine; a holder that has not reported yet says nothing of that. */
+    private boolean isSilent(BlockLease block, MachineId machine) {
+        PeerViews.BlockView view = fresh.of(block);
+        PeerReport.MachineState state = view == null ? null : view.machines().get(machine);
+        return state != null && state.silent().isMoreThan(UNHEARD);
+    }
+
+    /** Moves one block to a controller that has much less to do, now and then. */
+    private void rebalance(Map<BlockId, BlockLease> next, Map<MemberId, Integer> load) {
+        if (REBALANCE_EVERY.isMoreThan(timers.now().since(rebalanced))) {
+            return;
+        }
+        rebalanced = timers.now();
+        for (BlockLease block : ledger.blocks().values()) {
+            for (MemberRecord member : members()) {
+                int size = block.machines().size();
+                int gain = load.getOrDefault(block.holder(), 0) - load.getOrDefault(member.member(), 0) - size;
+                PeerViews.BlockView view = fresh.of(block);
+                boolean calm = view != null && view.machines().values().stream().allMatch(PeerReport.MachineState::fenced);
+                if (gain > REBALANCE_GAIN && calm) {
+                    LOG.info("block {} goes from {} to {} to share the load", block.id(), block.holder(), member.member());
+                    next.put(block.id(), block.heldBy(member));
+                    return;
+                }
+            }
+        }
+    }
+
+    /** How many machines a block may have: the more machines and the fewer changes a second, the more. */
+    private int mostMachines(MachineType type) {
+        int all = fleet.expected();
+        double bySize = Math.ceil(all / (BLOCKS_PER_CHANGE * settings.stateLimits().writesPerS()));
+        Resources small = foresight.urgentTask();
+        int tasks = Math.max(1, small.cpus() > 0 ? type.capacity().count(small) : (int) type.capacity().cpus());
+        int byRecord = Math.max(LEAST_BLOCK_SIZE, settings.stateLimits().valueBytes() / BYTES_PER_TASK / tasks);
+        return (int) Math.max(Math.max(LEAST_BLOCK_SIZE, largestGang(type)), Math.min(bySize, byRecord));
+    }
+
+    /** How many machines of a type the largest gang needs that waits: the machines rented for it make a block so large. */
+    private int largestGang(MachineType type) {
+        int most = 0;
+        for (JobId id : books.waiting()) {
+            Job job = books.account(id).job();
+            int each = type.capacity().count(job.each());
+            if (job.shape() == Shape.GANG && each > 0 && (job.types() == null || job.types().contains(type.name()))) {
+                most = Math.max(most, (job.tasks() + each - 1) / each);
+            }
+        }
+        return most;
+    }
+
+    private record Kind(String type, String zone, boolean spot) {
+        static Kind of(BlockLease block) {
+            return new Kind(block.type(), block.zone(), block.spot());
+        }
+    }
+
+    private void takeIn(Map<BlockId, BlockLease> next, Set<BlockId> deleted, Map<MemberId, Integer> load) {
+        newcomers.keySet().removeIf(machine -> ledger.blockOf(machine) != null || fleet.isGone(machine));
+        if (newcomers.isEmpty() || members().isEmpty()) {
+            return;
+        }
+        Map<Kind, List<BlockId>> withRoom = new HashMap<>();
+        ledger.blocks().values().forEach(block -> {
+            if (!deleted.contains(block.id())) {
+                withRoom.computeIfAbsent(Kind.of(block), kind -> new ArrayList<>()).add(block.id());
+            }
+        });
+        for (Machine machine : newcomers.values()) {
+            MachineType type = ledger.types().get(machine.type());
+            if (type == null) {
+                continue;
+            }
+            int most = mostMachines(type);
+            BlockLease home = null;
+            List<BlockId> homes = withRoom.computeIfAbsent(new Kind(machine.type(), machine.zone(), machine.spot()),
+                    kind -> new ArrayList<>());
+            while (home == null && !homes.isEmpty()) {
+                BlockLease block = next.getOrDefault(homes.get(0), ledger.blocks().get(homes.get(0)));
+                if (block.machines().size() < most) {
+                    home = block;
+                } else {
+                    homes.remove(0);
+                }
+            }
+            if (home != null) {
+                next.put(home.id(), home.with(machine));
+                load.merge(home.holder(), 1, Integer::sum);
+            } else {
+                MemberRecord holder = chooseHolder(machine.zone(), load);
+                BlockLease made = BlockLease.first(new BlockId("b-" + machine.id()), holder, machine);
+                load.merge(holder.member(), 1, Integer::sum);
+                next.put(made.id(), made);
+                homes.add(made.id());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/quincecross/leader/Results.java
@@ -0,0 +1,140 @@
+package org.quincecross.leader;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.quincecross.model.JobId;
+import org.quincecross.model.JobPhase;
+import org.quincecross.model.Shape;
+import org.quincecross.model.Span;
+import org.quincecross.model.SteadyTime;
+import org.quincecross.model.TaskId;
+import org.quincecross.model.TaskSet;
+import org.quincecross.net.Timers;
+import org.quincecross.peer.PeerViews;
+import org.quincecross.state.DoneTasks;
+import org.quincecross.state.JobRecord;
+import org.quincecross.state.Keys;
+import org.quincecross.state.Ledger;
+
+/** Makes completions durable, gathered so that they cost few changes. */
+final class Results {
+    private static final Span GATHER = Span.ofSeconds(1.5);
+
+    private final Timers timers;
+    private final Ledger ledger;
+    private final PeerViews views;
+    private final Books books;
+    private final Map<JobId, SteadyTime> since = new HashMap<>();
+
+    Results(Timers timers, Ledger ledger, PeerViews views, Books books) {
+        this.timers = timers;
+        this.ledger = ledger;
+        this.views = views;
+        this.books = books;
+    }
+
+    /** Makes completions durable; a job whose last task is done becomes done in the same stroke. */
+    void plan(TxnPlan plan, Map<JobId, TaskSet> fresh) {
+        SteadyTime now = timers.now();
+        since.keySet().retainAll(fresh.keySet());
+        boolean due = false;
+        Map<JobId, TaskSet> unfinished = new LinkedHashMap<>();
+        for (Map.Entry<JobId, TaskSet> entry : fresh.entrySet()) {
+            JobId id = entry.getKey();
+            Books.Account account = books.account(id);
+            TaskSet all = account.done().copy();
+            all.addAll(entry.getValue());
+            if (all.size() < account.job().tasks()) {
+                // Its machine keeps the result until it is durable, so a part of a job may wait for more of it.
+                due |= now.since(since.computeIfAbsent(id, j -> now)).isMoreThan(GATHER);
+                unfinished.put(id, all);
+            } else {
+                plan.put(Keys.job(id), JobRecord.done());
+            }
+        }
+        if (due) {
+            planParts(plan, unfinished, fresh);
+        }
+    }
+
+    /** Writes the done tasks of unfinished jobs: most share pages, so that one change serves many jobs. */
+    private void planParts(TxnPlan plan, Map<JobId, TaskSet> unfinished, Map<JobId, TaskSet> fresh) {
+        Map<Integer, Map<JobId, TaskSet>> pages = new TreeMap<>();
+        ledger.pages().forEach((page, sets) -> {
+            Map<JobId, TaskSet> kept = new LinkedHashMap<>();
+            sets.forEach((job, set) -> {
+                if (books.account(job) != null) {
+                    kept.put(job, set);
+                }
+            });
+            pages.put(page, kept);
+        });
+        Set<Integer> changed = new TreeSet<>();
+        unfinished.forEach((id, all) -> {
+            if (!DoneTasks.fitsPage(all) || ledger.hasChunks(id)) {
+                planChunks(plan, id, all, fresh.get(id));
+                return;
+            }
+            int page = 0;
+            while (pages.containsKey(page) && !pages.get(page).containsKey(id) && !hasRoom(plan, pages.get(page), id, all)) {
+                page++;
+            }
+            for (Map.Entry<Integer, Map<JobId, TaskSet>> other : pages.entrySet()) {
+                if (other.getValue().containsKey(id)) {
+                    page = hasRoom(plan, other.getValue(), id, all) ? other.getKey() : page;
+                }
+            }
+            pages.computeIfAbsent(page, p -> new LinkedHashMap<>()).put(id, all);
+            changed.add(page);
+        });
+        for (int page : changed) {
+            Map<String, Object> value = DoneTasks.writePage(pages.get(page));
+            if (plan.fits(value)) {
+                plan.put(Keys.page(page), value);
+            }
+        }
+    }
+
+    private static boolean hasRoom(TxnPlan plan, Map<JobId, TaskSet> page, JobId id, TaskSet all) {
+        Map<JobId, TaskSet> next = new LinkedHashMap<>(page);
+        next.put(id, all);
+        return plan.fits(DoneTasks.writePage(next));
+    }
+
+    /** The done tasks of a job that is too large for a page. */
+    private static void planChunks(TxnPlan plan, JobId id, TaskSet all, TaskSet fresh) {
+        Set<Integer> chunks = new TreeSet<>();
+        for (int i = all.next(0); i >= 0; i = all.next((i / DoneTasks.CHUNK + 1) * DoneTasks.CHUNK)) {
+            chunks.add(i / DoneTasks.CHUNK);
+        }
+        for (int chunk : chunks) {
+            plan.put(Keys.done(id, chunk), DoneTasks.write(all, chunk));
+        }
+    }
+
+    /** The completions that holders report and that are not durable yet. */
+    Map<JobId, TaskSet> completions() {
+        Map<JobId, TaskSet> fresh = new LinkedHashMap<>();
+        for (PeerViews.View view : views.all()) {
+            for (PeerViews.BlockView block : view.blocks().values()) {
+                for (TaskId task : block.completed()) {
+                    JobRecord job = ledger.job(task.job());
+                    if (job != null && job.phase() == JobPhase.OPEN && task.index() < job.job().tasks()
+                            && !ledger.isDone(task.job(), task.index())) {
+                        TaskSet done = fresh.computeIfAbsent(task.job(), id -> new TaskSet());
+                        done.add(task.index());
+                        // A gang completes as one, also where the machine of one of its tasks is lost right after.
+                        for (int i = 0; job.job().shape() == Shape.GANG && i < job.job().tasks(); i++) {
+                            done.add(i);
+                        }
+                    }
+                }
+            }
+        }
+        return fresh;
+    }
+}
--- a/src/main/java/org/quincecross/net/HttpServer.java
+++ b/src/main/java/org/quincecross/net/HttpServer.java
@@ -43,10 +43,6 @@
         loop.every(Span.ofSeconds(2), this::sweep);
     }
 
-    public int connections() {
-        return clients.size();
-    }
-
     @Override
     public void ready(SelectionKey key) throws IOException {
         for (int i = 0; i < 64; i++) {
--- a/src/main/java/org/quincecross/sched/Admission.java
+++ b/src/main/java/org/quincecross/sched/Admission.java
@@ -52,27 +52,34 @@
         private final Resources capacity;
         private final Resources machine;
         private final int machines;
+        private final List<Resources> free;
+        private final List<Resources> soon;
         private final Map<String, ImageRoom> images;
         private final int mostBytes;
         private final Resources[] usedFrom = new Resources[Rank.values().length];
         private final Map<JobId, TaskSet> admitted = new LinkedHashMap<>();
         private Rank admittedRank;
+        private int gangTasks;
         private int bytes;
 
         /**
          * @param capacity of the machines that take work
+         * @param free the free room of each of them
+         * @param soon the same, with what arrays take that come to an end by themselves
          * @param images those that machines of the block have, each with the free room there
          * @param mostBytes what the record of its tasks may take
          */
-        public Block(BlockId id, String type, String zone, boolean spot, Resources capacity, int machines,
-                Map<String, ImageRoom> images, int mostBytes) {
+        public Block(BlockId id, String type, String zone, boolean spot, Resources capacity, List<Resources> free,
+                List<Resources> soon, Map<String, ImageRoom> images, int mostBytes) {
             this.id = id;
             this.type = type;
             this.zone = zone;
             this.spot = spot;
             this.capacity = capacity;
+            this.machines = free.size();
             this.machine = machines == 0 ? Resources.NONE : capacity.times(1.0 / machines);
-            this.machines = machines;
+            this.free = free;
+            this.soon = soon;
             this.images = new HashMap<>(images);
             this.mostBytes = mostBytes;
             Arrays.fill(usedFrom, Resources.NONE);
@@ -124,6 +131,23 @@
             return capacity.minus(usedFrom(Rank.LOW));
         }
 
+        /** How many tasks of a job find a place right now, beside what was admitted in this round. */
+        private int placesNow(Job job) {
+            return places(job, free);
+        }
+
+        private int placesSoon(Job job) {
+            return places(job, soon);
+        }
+
+        private int places(Job job, List<Resources> rooms) {
+            int places = 0;
+            for (Resources room : rooms) {
+                places += room.count(job.each());
+            }
+            return places - gangTasks;
+        }
+
         private int bytesFor(Job job, int tasks) {
             return job.id().digits().length() + ITEM_BYTES + TaskSet.mostBytes(job.tasks(), tasks);
         }
@@ -326,24 +350,36 @@
         if (demand.pool().size() < job.tasks() || withinLimit(job) < job.tasks()) {
             return 0; // some of it is still out there, or its team is at its limit
         }
-        Choice best = null;
+        // Where it can start now, or where most of it could: room that is spread over many machines is of no use to it.
+        Block best = null;
         for (Block block : blocks) {
             looks++;
             if (mayGo(job, block, Map.of()) && hasRoom(job, job.tasks(), demand.isPressed(), block)
-                    && (!job.spread() || job.tasks() <= job.mostInOneZone())) {
-                Choice choice = new Choice(block, demand, false, 0);
-                best = best == null || choice.compareTo(best) < 0 ? choice : best;
+                    && (!job.spread() || job.tasks() <= job.mostInOneZone())
+                    && (best == null || gangOrder(demand).compare(block, best) < 0)) {
+                best = block;
             }
         }
         if (best == null) {
             return job.tasks();
         }
         for (int index = 0; index < job.tasks(); index++) {
-            admit(job, index, best.block);
+            admit(job, index, best);
         }
+        best.gangTasks += job.tasks();
         return 0;
     }
 
+    private static Comparator<Block> gangOrder(Demand demand) {
+        Job job = demand.job();
+        return Comparator.comparing((Block block) -> -Math.min(job.tasks(), block.placesNow(job)))
+                .thenComparing(block -> -Math.min(job.tasks(), block.placesSoon(job)))
+                .thenComparing(block -> new Choice(block, demand, false, 0).grade)
+                .thenComparing(block -> block.imageGrade(job))
+                .thenComparing(block -> block.usedFrom(Rank.LOW).shareOf(block.capacity))
+                .thenComparing(block -> block.id);
+    }
+
     private static boolean mayGo(Job job, Block block, Map<String, Integer> perZone) {
         if (!job.allows(block.type, block.zone, block.spot)) {
             return false;
--- a/src/main/java/org/quincecross/state/Ledger.java
+++ b/src/main/java/org/quincecross/state/Ledger.java
@@ -297,7 +297,6 @@
         touchedJobs.add(id);
     }
 
-
     private void putDone(String name, Object value) throws BadMessage {
         int slash = name.indexOf('/');
         JobId id = slash < 0 ? null : JobId.parse(name.substring(0, slash));
--- a/src/main/java/org/quincecross/wire/JobCodec.java
+++ b/src/main/java/org/quincecross/wire/JobCodec.java
@@ -97,10 +97,6 @@
         return Json.write(Json.object("Uid", id.text(), "Status", word, "done", done, "running", running));
     }
 
-    public static byte[] accepted(JobId id, JobPhase phase, int running) {
-        return status(id, phase, 0, running);
-    }
-
     public static byte[] error(String what) {
         return Json.write(Json.object("error", what));
     }
--- a/src/test/java/org/quincecross/sched/AdmissionTest.java
+++ b/src/test/java/org/quincecross/sched/AdmissionTest.java
@@ -47,7 +47,7 @@
             for (boolean spot : new boolean[] {true, false}) {
                 BlockId id = new BlockId(zone + spot);
                 zoneOf.put(id, zone);
-                blocks.add(new Admission.Block(id, "m", zone, spot, new Resources(16, 0, 64), 2, Map.of(), 4000));
+                blocks.add(new Admission.Block(id, "m", zone, spot, new Resources(16, 0, 64), List.of(new Resources(8, 0, 32), new Resources(8, 0, 32)), List.of(), Map.of(), 4000));
             }
         }
         List<Admission.Demand> demands = new ArrayList<>();
