--- a/src/test/java/org/quincecross/sched/BlockSchedulerTest.java
+++ b/src/test/java/org/quincecross/sched/BlockSchedulerTest.java
@@ -136,6 +136,34 @@
         assertEquals(1, count.size(), "one of the two machines stays whole");
     }
 
+    /**
+     * Urgent work that a fetch would make late waits for room next to its image, and starts there as soon as there is
+     * some: also where others wait on that machine and another one is idle.
+     */
+    @Example
+    void urgentWorkDisplacesOthersWhereItsImageIs() {
+        BlockScheduler block = new BlockScheduler();
+        MachineId idle = new MachineId("m0");
+        MachineId withImage = new MachineId("m1");
+        block.addMachine(idle, MACHINE, image -> false);
+        block.addMachine(withImage, MACHINE, image -> true);
+        Resources two = new Resources(2, 0, 1);
+        block.update(idle, Resources.NONE, Resources.NONE, true);
+        block.update(withImage, MACHINE, two, true);
+        Job job = job(1, Shape.SERVICE, Rank.PRODUCTION, 1, 2, 1);
+        Entry urgent = new Entry(job, List.of(job.id().task(0)), new Revision(1));
+        urgent.avoidFetch();
+        block.enqueue(urgent);
+        assertTrue(block.schedule(NOW).isEmpty(), "room can be made at once next to the image");
+        Job other = job(2, Shape.ARRAY, Rank.NORMAL, 1, 2, 1);
+        Preemption.Running victim = new Preemption.Running(other.id().task(0), withImage, Rank.NORMAL, two, false, NOW);
+        assertEquals(List.of(victim), new Preemption(block, List.of(victim), Map.of()).makeRoom(urgent));
+        assertEquals(List.of(), new Preemption(block, List.of(), Map.of(withImage, two)).makeRoom(urgent), "it is being made");
+        block.update(withImage, MACHINE.minus(two), Resources.NONE, true);
+        List<BlockScheduler.Start> starts = block.schedule(NOW);
+        assertEquals(List.of(withImage), starts.get(0).machines());
+    }
+
     /** One thing that happens to a block. */
     private record Step(int kind, int number, double cpus, double memory) {
     }
