Blocks stay with a controller of their zone: a zone that is cut off keeps its machines

Cause: holders were chosen by load alone at this size, so machines of a zone were often held outside of it, and died when it was cut off. A block in another zone now costs its holder 0.4 of the average.

--- a/src/main/java/org/quincecross/leader/Leases.java
+++ b/src/main/java/org/quincecross/leader/Leases.java
@@ -40,7 +40,10 @@
     private static final double BLOCKS_PER_CHANGE = 0.6;
     /** Of the record of a block's tasks, what a task takes; alone in its job 14, in an array 4. Admission keeps the limit. */
     private static final int BYTES_PER_TASK = 8;
-    private static final Span REBALANCE_EVERY = Span.ofSeconds(8);
+    private static final double LEAST_AWAY = 2.5;
+    private static final double AWAY = 0.4;
+    private static final Span REBALANCE_EVERY = Span.ofSeconds(4);
+    private static final int MOST_MOVED_AT_ONCE = 3;
     /** Moving a block costs a moment and what its holder has learnt of it: a small gain is not worth that. */
     private static final int REBALANCE_GAIN = 4;
     private static final Span UNHEARD = Span.ofSeconds(4);
@@ -90,8 +93,13 @@
         return best;
     }
 
-    private static double cost(MemberRecord member, String zone, Map<MemberId, Integer> load) {
-        return load.getOrDefault(member.member(), 0) + (member.zone().equals(zone) ? 0 : 2.5);
+    /**
+     * What it costs to have a block of a zone with a controller, in machines: those that it has, and where it is in
+     * another zone, a share of the average. When a zone is cut off, only a controller inside can hold its machines.
+     */
+    private double cost(MemberRecord member, String zone, Map<MemberId, Integer> load) {
+        double average = (double) ledger.machineCount() / ledger.members().size();
+        return load.getOrDefault(member.member(), 0) + (member.zone().equals(zone) ? 0 : Math.max(LEAST_AWAY, AWAY * average));
     }
 
     private Map<MemberId, Integer> machinesHeld() {
@@ -192,23 +200,24 @@
         return state != null && state.silent().isMoreThan(UNHEARD);
     }
 
-    /** Moves one block to a controller that has much less to do, now and then. */
+    /** Moves a few blocks to controllers that have much less to do, or are in the blocks' zones, now and then. */
     private void rebalance(Map<BlockId, BlockLease> next, Map<MemberId, Integer> load) {
         if (REBALANCE_EVERY.isMoreThan(timers.now().since(rebalanced))) {
             return;
         }
         rebalanced = timers.now();
         for (BlockLease block : ledger.blocks().values()) {
-            for (MemberRecord member : members()) {
-                int size = block.machines().size();
-                int gain = load.getOrDefault(block.holder(), 0) - load.getOrDefault(member.member(), 0) - size;
-                PeerViews.BlockView view = fresh.of(block);
-                boolean calm = view != null && view.machines().values().stream().allMatch(PeerReport.MachineState::fenced);
-                if (gain > REBALANCE_GAIN && calm) {
-                    LOG.info("block {} goes from {} to {} to share the load", block.id(), block.holder(), member.member());
-                    next.put(block.id(), block.heldBy(member));
-                    return;
-                }
+            MemberRecord holder = ledger.members().get(block.holder());
+            MemberRecord better = chooseHolder(block.zone(), load);
+            int size = block.machines().size();
+            PeerViews.BlockView view = fresh.of(block);
+            boolean calm = view != null && view.machines().values().stream().allMatch(PeerReport.MachineState::fenced);
+            if (holder != null && calm && next.size() < MOST_MOVED_AT_ONCE
+                    && cost(holder, block.zone(), load) - cost(better, block.zone(), load) - size > REBALANCE_GAIN) {
+                LOG.info("block {} goes from {} to {} to share the load", block.id(), block.holder(), better.member());
+                next.put(block.id(), block.heldBy(better));
+                load.merge(holder.member(), -size, Integer::sum);
+                load.merge(better.member(), size, Integer::sum);
             }
         }
     }
