--- a/src/test/java/org/quincecross/world/World.java
+++ b/src/test/java/org/quincecross/world/World.java
@@ -281,26 +281,23 @@
 
     /** Submits one service replica that stays until it is cancelled. */
     JobId submitService(int number) {
-        Job job = new Job(new JobId("job-" + number), "service", "red", Shape.SERVICE, Rank.PRODUCTION, 1,
-                new Resources(1, 0, 2), null, null, false, false, false, "img-0", 1, Span.ZERO, Span.ZERO, Span.ZERO, null);
-        jobs.put(job.id(), job);
-        sendSubmission(job, time.seconds());
-        return job.id();
+        return submit(new Job(new JobId("job-" + number), "service", "red", Shape.SERVICE, Rank.PRODUCTION, 1,
+                new Resources(1, 0, 2), null, null, false, false, false, "img-0", 1, Span.ZERO, Span.ZERO, Span.ZERO, null));
     }
 
     /** Submits a gang each of whose tasks takes most of a machine. */
     JobId submitLargeGang(int number, int tasks) {
-        Job job = new Job(new JobId("job-" + number), "gang", "red", Shape.GANG, Rank.NORMAL, tasks,
-                new Resources(5, 0, 2), null, null, true, false, false, "img-0", 1, Span.ofSeconds(20), Span.ZERO, Span.ZERO, null);
-        jobs.put(job.id(), job);
-        sendSubmission(job, time.seconds());
-        return job.id();
+        return submit(new Job(new JobId("job-" + number), "gang", "red", Shape.GANG, Rank.NORMAL, tasks,
+                new Resources(5, 0, 2), null, null, true, false, false, "img-0", 1, Span.ofSeconds(20), Span.ZERO, Span.ZERO, null));
     }
 
     /** Submits one array of long tasks. */
     JobId submitArray(int number, int tasks) {
-        Job job = new Job(new JobId("job-" + number), "array", "red", Shape.ARRAY, Rank.NORMAL, tasks,
-                new Resources(4, 0, 2), null, null, false, false, true, "img-0", 1, Span.ofSeconds(300), Span.ZERO, Span.ZERO, null);
+        return submit(new Job(new JobId("job-" + number), "array", "red", Shape.ARRAY, Rank.NORMAL, tasks,
+                new Resources(4, 0, 2), null, null, false, false, true, "img-0", 1, Span.ofSeconds(300), Span.ZERO, Span.ZERO, null));
+    }
+
+    private JobId submit(Job job) {
         jobs.put(job.id(), job);
         sendSubmission(job, time.seconds());
         return job.id();
@@ -315,8 +312,7 @@
                 new Resources(1 + random.nextInt(3), 0, 2), null, null, shape == Shape.GANG && tasks > 1, spread,
                 shape != Shape.SERVICE && random.nextBoolean(), "img-" + random.nextInt(3), 1,
                 Span.ofSeconds(2 + random.nextInt(15)), Span.ZERO, Span.ZERO, null);
-        jobs.put(job.id(), job);
-        sendSubmission(job, time.seconds());
+        submit(job);
         if (shape == Shape.SERVICE || random.nextInt(4) == 0) {
             time.after(1 + random.nextDouble() * 60, () -> cancel(job.id()));
         }
