--- a/src/main/java/org/quincecross/admin/AdminApi.java
+++ b/src/main/java/org/quincecross/admin/AdminApi.java
@@ -40,9 +40,10 @@
     private final Holdings holdings;
     private final Leader leader;
     private final Metrics metrics;
+    private final Stalls stalls;
 
     public AdminApi(Timers timers, Ledger ledger, Follower follower, Membership membership, StateClient client,
-            Holdings holdings, Leader leader, Metrics metrics) {
+            Holdings holdings, Leader leader, Metrics metrics, Stalls stalls) {
         this.timers = timers;
         this.ledger = ledger;
         this.follower = follower;
@@ -51,6 +52,7 @@
         this.holdings = holdings;
         this.leader = leader;
         this.metrics = metrics;
+        this.stalls = stalls;
     }
 
     public void handle(HttpRequest request, Consumer<HttpResponse> reply) {
@@ -92,7 +94,8 @@
                 "role", leader.state().toString(), "leader", ledger.leader() == null ? null : ledger.leader().member().text(),
                 "members", members, "revision", ledger.revision().number(),
                 "unconfirmed_ms", follower.confirmed() == null ? null : timers.now().since(follower.confirmed()).millis(),
-                "jobs", ledger.jobCount(), "blocks", ledger.blocks().size(), "blocks_held", holdings.all().size());
+                "jobs", ledger.jobCount(), "blocks", ledger.blocks().size(), "blocks_held", holdings.all().size(),
+                "stalled", stalls.write());
     }
 
     private Object blocks() {
--- /dev/null
+++ b/src/main/java/org/quincecross/admin/Stalls.java
@@ -0,0 +1,133 @@
+package org.quincecross.admin;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.ToIntFunction;
+import org.quincecross.block.BlockHolder;
+import org.quincecross.block.Holdings;
+import org.quincecross.leader.Leader;
+import org.quincecross.model.BlockId;
+import org.quincecross.model.JobId;
+import org.quincecross.model.JobPhase;
+import org.quincecross.model.Shape;
+import org.quincecross.model.Span;
+import org.quincecross.model.SteadyTime;
+import org.quincecross.net.Timers;
+import org.quincecross.progress.ProgressWatch;
+import org.quincecross.state.BlockLease;
+import org.quincecross.state.JobRecord;
+import org.quincecross.state.Ledger;
+import org.quincecross.wire.Json;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Names the jobs that make no progress, with what they wait for: for operators, in the log and in the status. The
+ * leader watches all open jobs, every other controller those that have tasks in its blocks.
+ */
+public final class Stalls {
+    private static final Logger LOG = LoggerFactory.getLogger(Stalls.class);
+    private static final Span LOOK_EVERY = Span.ofSeconds(5);
+    private static final Span SAY_AGAIN = Span.ofSeconds(300);
+    private static final int MOST_SHOWN = 50;
+
+    private final Timers timers;
+    private final Ledger ledger;
+    private final Holdings holdings;
+    private final Leader leader;
+    private final ToIntFunction<JobId> running;
+    private final ProgressWatch watch = new ProgressWatch();
+    private final Map<JobId, SteadyTime> said = new HashMap<>();
+    private List<ProgressWatch.Stall> stalls = List.of();
+
+    /** @param running how many tasks of a job run, as far as is known here */
+    public Stalls(Timers timers, Ledger ledger, Holdings holdings, Leader leader, ToIntFunction<JobId> running) {
+        this.timers = timers;
+        this.ledger = ledger;
+        this.holdings = holdings;
+        this.leader = leader;
+        this.running = running;
+    }
+
+    public void start() {
+        timers.every(LOOK_EVERY, this::look);
+    }
+
+    private void look() {
+        SteadyTime now = timers.now();
+        stalls = watch.look(watched(), now);
+        said.keySet().retainAll(stalls.stream().map(ProgressWatch.Stall::job).toList());
+        for (ProgressWatch.Stall stall : stalls) {
+            SteadyTime before = said.get(stall.job());
+            if (before == null || now.since(before).isMoreThan(SAY_AGAIN)) {
+                said.put(stall.job(), now);
+                LOG.info("{} has made no progress for {}: {}", stall.job(), now.since(stall.since()), waits(stall.job()));
+            }
+        }
+    }
+
+    private Collection<ProgressWatch.Standing> watched() {
+        Map<JobId, ProgressWatch.Standing> standings = new TreeMap<>();
+        if (leader.isLeading()) {
+            ledger.openJobs().forEach(record -> standings.put(record.id(), standing(record)));
+        } else {
+            for (BlockHolder holder : holdings.all()) {
+                for (JobId job : holder.jobs()) {
+                    JobRecord record = ledger.job(job);
+                    if (record != null && record.phase() == JobPhase.OPEN && !standings.containsKey(job)) {
+                        standings.put(job, standing(record));
+                    }
+                }
+            }
+        }
+        return standings.values();
+    }
+
+    private ProgressWatch.Standing standing(JobRecord record) {
+        boolean service = record.job().shape() == Shape.SERVICE;
+        return new ProgressWatch.Standing(record.id(), service, record.job().estimate(), record.job().tasks(),
+                service ? 0 : ledger.doneCount(record.id()), running.applyAsInt(record.id()));
+    }
+
+    /** What a job's tasks wait for, as far as this controller knows. */
+    private List<String> waits(JobId job) {
+        List<String> waits = new ArrayList<>();
+        String pool = leader.poolWait(job);
+        if (pool != null) {
+            waits.add(pool);
+        }
+        for (BlockId block : ledger.allocatedBlocks()) {
+            if (!ledger.allocation(block).tasks().containsKey(job)) {
+                continue;
+            }
+            BlockHolder holder = holdings.get(block);
+            BlockLease lease = ledger.blocks().get(block);
+            if (holder != null) {
+                waits.addAll(holder.waits(job));
+            } else {
+                waits.add(lease == null ? "tasks in block " + block + ", which has no lease"
+                        : "tasks in block " + block + ": ask " + lease.holder());
+            }
+        }
+        int count = running.applyAsInt(job);
+        if (count > 0) {
+            waits.add(count + " tasks run");
+        }
+        return waits;
+    }
+
+    /** For the status. */
+    Object write() {
+        SteadyTime now = timers.now();
+        List<Object> list = new ArrayList<>();
+        for (ProgressWatch.Stall stall : stalls.subList(0, Math.min(MOST_SHOWN, stalls.size()))) {
+            list.add(Json.object("job", stall.job().text(), "for_s", Math.floor(now.since(stall.since()).seconds()),
+                    "waits_for", waits(stall.job())));
+        }
+        return list;
+    }
+}
--- a/src/main/java/org/quincecross/api/Controller.java
+++ b/src/main/java/org/quincecross/api/Controller.java
@@ -7,6 +7,7 @@
 import java.util.function.LongSupplier;
 import org.quincecross.admin.AdminApi;
 import org.quincecross.admin.Metrics;
+import org.quincecross.admin.Stalls;
 import org.quincecross.block.HolderContext;
 import org.quincecross.block.Holdings;
 import org.quincecross.http.HttpRequest;
@@ -68,6 +69,7 @@
     private final UserApi users;
     private final AgentApi agents;
     private final AdminApi admin;
+    private final Stalls stalls;
     private final Cancellations cancellations;
     private final Metrics metrics = new Metrics();
     private final PeerViews views = new PeerViews();
@@ -95,7 +97,8 @@
         users = new UserApi(timers, ledger, follower, client, settings, this::running, clockMs, cancellations,
                 membership::life);
         agents = new AgentApi(timers, ledger, holdings, leader, settings.member());
-        admin = new AdminApi(timers, ledger, follower, membership, client, holdings, leader, metrics);
+        stalls = new Stalls(timers, ledger, holdings, leader, this::running);
+        admin = new AdminApi(timers, ledger, follower, membership, client, holdings, leader, metrics, stalls);
         longestUnconfirmed = longestUnconfirmed(settings.workers());
     }
 
@@ -121,6 +124,7 @@
         holdings.start();
         leader.start();
         fleet.start();
+        stalls.start();
         timers.every(TELL_EVERY, () -> tell(true, ++regularReports % LOOK_AT_ALL_EVERY == 0));
     }
 
@@ -301,9 +305,14 @@
         return List.of();
     }
 
+    @Override
+    public SteadyTime confirmed() {
+        return follower.confirmed();
+    }
+
     @Override
     public boolean isEntitled() {
-        SteadyTime confirmed = follower.confirmed();
+        SteadyTime confirmed = confirmed();
         return confirmed != null && !timers.now().since(confirmed).isMoreThan(longestUnconfirmed);
     }
 
--- a/src/main/java/org/quincecross/api/Submissions.java
+++ b/src/main/java/org/quincecross/api/Submissions.java
@@ -23,7 +23,14 @@
 import org.quincecross.wire.StateCodec.Change;
 import org.quincecross.wire.StateCodec.Guard;
 
-/** Makes submissions durable, several in one change where several have come. */
+/**
+ * Makes submissions durable, several in one change where several have come.
+ *
+ * <p>What ends each wait: a transaction waits for the budget, which refills, and then for its answer, for as long as
+ * {@link StateClient} gives it; one without an answer, or in conflict, waits for a reading of the records, which fails after
+ * a second; one that was refused is tried again until {@link #PATIENCE} is over. So every submission is answered within
+ * about six seconds, most often with 503 where the state service does not answer, and its user comes back.
+ */
 final class Submissions {
     private static final Span PATIENCE = Span.ofSeconds(2);
     private static final Span RETRY = Span.ofMillis(120);
--- a/src/main/java/org/quincecross/block/Blame.java
+++ b/src/main/java/org/quincecross/block/Blame.java
@@ -1,25 +1,54 @@
 package org.quincecross.block;
 
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeSet;
 import org.quincecross.model.JobId;
 import org.quincecross.model.MachineId;
+import org.quincecross.model.Span;
+import org.quincecross.model.SteadyTime;
 
 /** Tells sick machines from bad jobs, by what has failed where in a block. */
 final class Blame {
     /** A job that has failed on so many machines and run on none is bad. */
     private static final int BAD_AFTER = 3;
     private static final int SICK_AT = 2;
+    private static final double DECLINED_S = 30;
+    private static final double MOST_DECLINED_S = 600;
 
     private final Map<JobId, Set<MachineId>> failedOn = new HashMap<>();
     private final Set<JobId> succeeded = new HashSet<>();
+    private final Map<JobId, Declined> declined = new HashMap<>();
+
+    /** A job that is not wanted before {@code until}; {@code times}: how often that has been said. */
+    private record Declined(SteadyTime until, int times) {
+    }
 
     void succeeded(JobId job) {
         succeeded.add(job);
     }
 
+    /** A job has failed on all machines there are: each time it does, it is kept away for longer. */
+    void decline(JobId job, SteadyTime now) {
+        int times = declined.containsKey(job) ? declined.get(job).times() + 1 : 1;
+        double seconds = Math.min(MOST_DECLINED_S, DECLINED_S * Math.pow(2, Math.min(times, 10) - 1));
+        declined.put(job, new Declined(now.plus(Span.ofSeconds(seconds)), times));
+    }
+
+    /** The jobs that are kept away. */
+    Set<JobId> declined(SteadyTime now) {
+        Set<JobId> jobs = new TreeSet<>(Comparator.comparing(JobId::text));
+        declined.forEach((job, until) -> {
+            if (now.isBefore(until.until())) {
+                jobs.add(job);
+            }
+        });
+        return jobs;
+    }
+
     /** The machines on which a job has failed. */
     Set<MachineId> failedOn(JobId job) {
         return failedOn.getOrDefault(job, Set.of());
--- a/src/main/java/org/quincecross/block/BlockHolder.java
+++ b/src/main/java/org/quincecross/block/BlockHolder.java
@@ -1,6 +1,7 @@
 package org.quincecross.block;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -60,6 +61,10 @@
     /** A replica that has just been started should not be stopped again for tidiness. */
     private static final Span MOVABLE_AFTER = Span.ofSeconds(40);
     private static final Span GANG_PATIENCE = Span.ofSeconds(30);
+    /** Beyond twice its estimate: what runs before it should have ended by then. */
+    private static final Span LONG_WAIT = Span.ofSeconds(90);
+    /** How long work waits for any machine of the block to take work again. */
+    private static final Span NONE_OPEN_PATIENCE = Span.ofSeconds(10);
     private static final Span ROOM_PATIENCE = Span.ofMillis(20);
     /** Where a stop has waited so long for a start that was never answered, a new token is asked for. */
     private static final Span DOUBT_PATIENCE = Span.ofSeconds(8);
@@ -81,6 +86,7 @@
     private boolean stirred = true;
     private boolean entitled;
     private SteadyTime wakeAt;
+    private SteadyTime noneOpenSince;
     private Revision synced = Revision.NONE;
     private long attempts;
 
@@ -294,10 +300,11 @@
                 entry.avoidFetch();
             }
             if (placement.failures() > 0) {
-                entry.avoided().addAll(blame.failedOn(job.id()));
-                if (entry.avoided().size() >= sessions.size()) {
-                    entry.avoided().clear();
+                if (hasFailedEverywhere(job)) {
+                    decline(job, unit);
+                    continue;
                 }
+                entry.avoided().addAll(blame.failedOn(job.id()));
                 double wait = Math.min(30, 0.5 * Math.pow(2, Math.min(placement.failures(), 6)));
                 SteadyTime ready = context.now().plus(Span.ofSeconds(wait));
                 entry.holdBack(ready);
@@ -309,6 +316,32 @@
         }
     }
 
+    /** Whether a job has failed on every machine that takes work here. */
+    private boolean hasFailedEverywhere(Job job) {
+        Set<MachineId> failedOn = blame.failedOn(job.id());
+        return !failedOn.isEmpty() && sessions.values().stream()
+                .allMatch(session -> failedOn.contains(session.machine().id()) || !isOpen(session));
+    }
+
+    /**
+     * Gives back work that has failed on all that this block has. One machine that fails what it is given looks from
+     * here like a job that fails wherever it is tried: other blocks tell them apart, and a task that only this block
+     * may have would be tried here for ever. The leader does not give it to this block again for a while.
+     */
+    private void decline(Job job, List<TaskId> unit) {
+        SteadyTime now = context.now();
+        LOG.info("block {}: {} has failed on every machine here", id(), job.id());
+        blame.decline(job.id(), now);
+        unit.forEach(task -> placements.get(task).release(now));
+        reporter.headerChanged();
+        context.newsForLeader();
+    }
+
+    /** The jobs that the block should not be given. */
+    Set<JobId> declined() {
+        return blame.declined(context.now());
+    }
+
     private boolean wouldBeLateByFetch(Job job) {
         MachineType type = context.ledger().types().get(lease.type());
         Span within = context.startWithin(job.jobClass());
@@ -563,8 +596,12 @@
     public void tick() {
         SteadyTime now = context.now();
         Span lease = context.workers().lease().times(CLOCK_DRIFT).plus(LEASE_MARGIN);
+        // That a lease is over counts only as of the last word from the state service: until then nobody else held the
+        // block, so nobody else can have renewed it. After that another controller may have, and what runs there goes on,
+        // while the other machines may still obey this holder (docs/incidents/lost-by-a-former-holder.md).
+        SteadyTime confirmed = context.confirmed();
         for (Session session : sessions.values()) {
-            if (session.state() != Session.State.LOST && session.leaseIsOver(lease, now)) {
+            if (session.state() != Session.State.LOST && confirmed != null && session.leaseIsOver(lease, confirmed)) {
                 LOG.info("block {}: machine {} is silent and its lease is over", id(), session.machine().id());
                 session.enter(Session.State.LOST);
                 freeAll(session.machine().id(), now);
@@ -652,6 +689,7 @@
             }
         }
         giveBackGangs(now);
+        giveBackLongWaiting(now);
         makeRoom(now);
         clearNoticed(now);
         clearLeaving(now);
@@ -724,6 +762,35 @@
         }
     }
 
+    /**
+     * What has waited here for long may wait for ever as well: behind services that stay for hours, or for machines of
+     * which none takes work any more. In the pool it may go where there is room.
+     */
+    private void giveBackLongWaiting(SteadyTime now) {
+        if (sessions.values().stream().anyMatch(this::isOpen)) {
+            noneOpenSince = null;
+        } else if (noneOpenSince == null) {
+            noneOpenSince = now;
+        }
+        for (Placement placement : placements.in(Placement.State.WAITING)) {
+            Job job = placement.job();
+            SteadyTime patient = placement.since().plus(LONG_WAIT.plus(job.estimate().times(2)));
+            if (noneOpenSince != null && noneOpenSince.plus(NONE_OPEN_PATIENCE).isBefore(patient)) {
+                patient = noneOpenSince.plus(NONE_OPEN_PATIENCE);
+            }
+            if (job.shape() == Shape.GANG && noneOpenSince == null) {
+                continue; // goes back as one, and sooner
+            }
+            if (now.isBefore(patient)) {
+                wakeBy(patient);
+                continue;
+            }
+            dequeue(placement.task());
+            placement.release(now);
+            context.newsForLeader();
+        }
+    }
+
     /** Stops work of lower priority for work that has waited a moment and fits nowhere. */
     private void makeRoom(SteadyTime now) {
         if (entries.isEmpty()) {
@@ -885,6 +952,16 @@
         return sessions.values().stream().anyMatch(session -> session.keptExits() > MOST_KEPT_EXITS);
     }
 
+    /** What the tasks of a job wait for here, in words; none where all of them run. */
+    public List<String> waits(JobId job) {
+        return Waits.of(job, this, placements, sessions);
+    }
+
+    /** The jobs that have tasks here. */
+    public Collection<JobId> jobs() {
+        return placements.jobs();
+    }
+
     public BlockReporter reporter() {
         return reporter;
     }
--- a/src/main/java/org/quincecross/block/BlockReporter.java
+++ b/src/main/java/org/quincecross/block/BlockReporter.java
@@ -62,7 +62,7 @@
         }
         if (dirtyHeader || all) {
             dirtyHeader = false;
-            PeerReport.Block next = new PeerReport.Block(holder.id(), holder.lease().token(), holder.allocated(), inDoubt, true,
+            PeerReport.Block next = new PeerReport.Block(holder.id(), holder.lease().token(), holder.allocated(), inDoubt, holder.declined(), true,
                     holder.completed(), holder.released(), holder.running(), List.of());
             if (header == null || !header.content().equals(next)) {
                 header = new Part<>(next, number);
--- a/src/main/java/org/quincecross/block/Commands.java
+++ b/src/main/java/org/quincecross/block/Commands.java
@@ -26,6 +26,11 @@
 /**
  * What a holder tells its machines, beside the answers to their reports: starts and stops at once, and the present token
  * to those that have not shown it.
+ *
+ * <p>Each direct command waits for its answer, {@link #DIRECT_TIMEOUT} at most. A command that was not answered is not sent
+ * again by itself: what it said is said again by the answer to the machine's next report, or after {@link #DIRECT_RETRY}.
+ * That it may still be executed is remembered per attempt by {@link Session} until the machine has shown a higher token or
+ * a new session.
  */
 final class Commands {
     private static final Logger LOG = LoggerFactory.getLogger(Commands.class);
--- a/src/main/java/org/quincecross/block/HolderContext.java
+++ b/src/main/java/org/quincecross/block/HolderContext.java
@@ -33,6 +33,9 @@
     /** Whether the ledger is recent enough for this controller to give commands and renew leases. */
     boolean isEntitled();
 
+    /** The ledger has all that had happened by this time; null before it was first read. */
+    SteadyTime confirmed();
+
     /** The longest that a former holder, cut off from the state service, goes on answering its machines. */
     Span longestUnconfirmed();
 
--- a/src/main/java/org/quincecross/block/Placement.java
+++ b/src/main/java/org/quincecross/block/Placement.java
@@ -7,23 +7,49 @@
 import org.quincecross.model.SteadyTime;
 import org.quincecross.model.TaskId;
 
-/** Where a task that the block has stands. */
+/**
+ * Where a task that the block has stands. Each state that waits for a message says what ends the wait if the message
+ * never comes; a state of which that cannot be said is an error (docs/incidents/unanswered-start.md).
+ */
 final class Placement {
     /** The states of a placement. */
     enum State {
-        /** The former holder may have started it: it may not start before all machines are fenced or released. */
+        /**
+         * The former holder may have started it: it may not start before all machines are fenced or released. Waits for
+         * each machine's report; without it, for the end of its lease as of the state service's last word, or its return
+         * to the cloud.
+         */
         UNSETTLED,
-        /** On no machine, surely. */
+        /**
+         * On no machine, surely. Waits for room; without it, goes back to the pool: after 10 s where no machine takes
+         * work, at once where it has failed on all, a gang after 30 s, everything else after 90 s and twice its estimate.
+         */
         WAITING,
-        /** Its start has been decided and may be under way. */
+        /**
+         * Its start has been decided and may be under way. Waits for a report that has it: every answer to a report
+         * without it repeats the start; a machine that does not report is lost with its lease.
+         */
         STARTING,
-        /** Its machine reports it. */
+        /**
+         * Its machine reports it. Waits for its exit; a machine that reports without it has lost it, one that does not
+         * report is lost with its lease, a gang that does not come together exits by itself.
+         */
         ACTIVE,
-        /** To be stopped, and not yet known to be gone. */
+        /**
+         * To be stopped, and not yet known to be gone. Waits for its exit, or a report without it: every answer repeats
+         * the stop. Where its start was never answered and never shows, no report is proof; then the block is leased
+         * anew ({@link BlockHolder#isInDoubt}).
+         */
         STOPPING,
-        /** Completed; its machine keeps the result until that is durable. */
+        /**
+         * Completed; its machine keeps the result until that is durable. Waits for the records to say so: until they do,
+         * it is part of what every controller is told of the block, so whoever leads knows it.
+         */
         COMPLETED,
-        /** On no machine, and given back: never to be started again under this allocation. */
+        /**
+         * On no machine, and given back: never to be started again under this allocation. Waits for an allocation without
+         * it; told as completions are.
+         */
         RELEASED
     }
 
--- a/src/main/java/org/quincecross/leader/Fleet.java
+++ b/src/main/java/org/quincecross/leader/Fleet.java
@@ -14,6 +14,7 @@
 import org.quincecross.admin.OperatorSettings;
 import org.quincecross.model.Incarnation;
 import org.quincecross.model.Job;
+import org.quincecross.model.JobId;
 import org.quincecross.model.MachineId;
 import org.quincecross.model.MachineType;
 import org.quincecross.model.Resources;
@@ -40,6 +41,7 @@
     private static final Span LED_LATELY = Span.ofSeconds(1);
     private static final Span CATALOG_EVERY = Span.ofSeconds(60);
     private static final Span LIST_EVERY = Span.ofSeconds(4);
+    private static final Span LIST_MARGIN = Span.ofSeconds(4);
     private static final Span REFUSED_FOR = Span.ofSeconds(15);
     private static final Span CONSOLIDATE_FIRST = Span.ofSeconds(60);
     private static final Span CONSOLIDATE_EVERY = Span.ofSeconds(5);
@@ -78,9 +80,12 @@
     private final Supplier<Incarnation> life;
     private final Map<String, MachineType> catalog = new TreeMap<>();
     private final Map<MachineId, CloudCodec.Listed> listed = new TreeMap<>();
+    private final Map<MachineId, SteadyTime> unlistedSince = new HashMap<>();
     private final Map<MachineId, Booting> booting = new LinkedHashMap<>();
     private final Map<MachineId, SteadyTime> idleSince = new HashMap<>();
     private final Map<Kind, SteadyTime> refusedUntil = new HashMap<>();
+    /** Machines of blocks that the cloud does not have any more. */
+    private final Set<MachineId> unlisted = new HashSet<>();
     private final Set<MachineId> wanted = new HashSet<>();
     private final Set<MachineId> gone = new HashSet<>();
     /** Of the wanted and the gone, those in blocks. */
@@ -128,6 +133,8 @@
             leading = true;
             booting.clear();
             idleSince.clear();
+            unlistedSince.clear();
+            unlisted.clear();
             wanted.clear();
             leaving.clear();
             leaving.addAll(gone);
@@ -173,6 +180,11 @@
         unmet = now;
     }
 
+    /** Whether there was no block for tasks of a job when this was last looked at. */
+    boolean isUnmet(JobId job) {
+        return unmet.stream().anyMatch(need -> need.job().id().equals(job));
+    }
+
     private void tick() {
         SteadyTime now = timers.now();
         // A leader that has lost the state service may not lead any more: machines that report to it no longer have new
@@ -209,10 +221,10 @@
             return;
         }
         listing = true;
-        readPage(null, new TreeMap<>());
+        readPage(null, new TreeMap<>(), now);
     }
 
-    private void readPage(MachineId after, Map<MachineId, CloudCodec.Listed> all) {
+    private void readPage(MachineId after, Map<MachineId, CloudCodec.Listed> all, SteadyTime begun) {
         cloud.list(after, page -> {
             listAfter = timers.now().plus(LIST_EVERY);
             listing = false;
@@ -226,11 +238,12 @@
             }
             if (page.more() && last != null) {
                 listing = true;
-                readPage(last, all);
+                readPage(last, all, begun);
                 return;
             }
             listed.clear();
             listed.putAll(all);
+            noteUnlisted(begun);
             SteadyTime now = timers.now();
             for (CloudCodec.Listed machine : all.values()) {
                 if (machine.status() == CloudCodec.Status.BOOTING && ledger.blockOf(machine.machine().id()) == null
@@ -243,6 +256,28 @@
         });
     }
 
+    /**
+     * Marks machines of blocks that a list asked for at {@code begun} does not have. A machine stays listed until it is
+     * gone, and a list is at most twice the lag old: one that was known to be there before, and is in no list asked for
+     * that much later, is gone.
+     */
+    private void noteUnlisted(SteadyTime begun) {
+        unlisted.clear();
+        unlistedSince.keySet().removeIf(machine -> listed.containsKey(machine) || ledger.blockOf(machine) == null);
+        for (BlockLease block : ledger.blocks().values()) {
+            for (MachineId machine : block.machines().keySet()) {
+                if (!listed.containsKey(machine)
+                        && begun.since(unlistedSince.computeIfAbsent(machine, id -> begun)).isMoreThan(listedWithin())) {
+                    unlisted.add(machine);
+                }
+            }
+        }
+    }
+
+    private Span listedWithin() {
+        return settings.cloudLimits().listLag().times(2).plus(LIST_MARGIN);
+    }
+
     // ---- returning ----
 
     private Set<MachineId> returnable(View current, SteadyTime now) {
@@ -277,6 +312,14 @@
                 back.add(machine);
             }
         }
+        // However many fall silent at once: those that the cloud does not list any more do not come back. Returning them
+        // is the proof, and without it the work of their blocks would wait for them for ever.
+        for (MachineId machine : unlisted) {
+            PeerReport.MachineState state = current.machines().get(machine);
+            if (state != null && state.silent().isMoreThan(spotPatience()) && !current.strays().contains(machine)) {
+                back.add(machine);
+            }
+        }
         for (CloudCodec.Listed machine : listed.values()) {
             MachineId id = machine.machine().id();
             MachineType type = ledger.types().get(machine.machine().type());
--- a/src/main/java/org/quincecross/leader/Leader.java
+++ b/src/main/java/org/quincecross/leader/Leader.java
@@ -21,6 +21,7 @@
 import org.quincecross.model.Rank;
 import org.quincecross.model.Resources;
 import org.quincecross.model.Revision;
+import org.quincecross.model.Shape;
 import org.quincecross.model.Span;
 import org.quincecross.model.SteadyTime;
 import org.quincecross.model.TaskId;
@@ -159,6 +160,35 @@
         }
     }
 
+    /** What the tasks of an open job that are in the pool wait for, in words; null where none are, or nobody leads here. */
+    public String poolWait(JobId id) {
+        Books.Account account = isLeading() ? books.account(id) : null;
+        if (account == null || account.pool().isEmpty()) {
+            return null;
+        }
+        Job job = account.job();
+        int tasks = job.shape() == Shape.GANG ? job.tasks() : 1;
+        String what = account.pool().size() + " tasks in the pool: ";
+        Team team = settings.teams().get(job.team());
+        Resources use = books.teamUse().getOrDefault(job.team(), Resources.NONE);
+        if (team == null) {
+            return what + "the settings name no team " + job.team();
+        }
+        if (team.limit().minus(use).count(job.each()) < tasks) {
+            return what + "team " + job.team() + " uses " + use + " of its limit " + team.limit();
+        }
+        if (job.shape() == Shape.GANG && account.pool().size() < job.tasks()) {
+            return what + "the rest of the gang is still in a block";
+        }
+        long declines = views.all().stream().flatMap(view -> view.blocks().values().stream())
+                .filter(block -> block.declined().contains(id)).count();
+        if (declines > 0) {
+            return what + "failed on every machine of " + declines + " blocks, to be tried there again later";
+        }
+        return what + (fleet.isUnmet(id) ? "no block has room, machines are rented as the cloud gives them"
+                : "to be allocated");
+    }
+
     /** Steps a moment from now, once for all that happens until then. */
     public void soon() {
         if (!stepPlanned) {
@@ -378,6 +408,8 @@
                 continue;
             }
             Admission.Block block = admissionBlock(lease);
+            PeerViews.BlockView view = fresh.of(lease);
+            block.decline(view == null ? Set.of() : view.declined());
             books.held(id).forEach((job, tasks) -> {
                 TaskSet done = completed.get(job);
                 block.count(books.account(job).job(), tasks.size(), tasks.size() - (done == null ? 0 : tasks.common(done)));
--- a/src/main/java/org/quincecross/leader/Results.java
+++ b/src/main/java/org/quincecross/leader/Results.java
@@ -20,7 +20,14 @@
 import org.quincecross.state.Keys;
 import org.quincecross.state.Ledger;
 
-/** Makes completions durable, gathered so that they cost few changes. */
+/**
+ * Makes completions durable, gathered so that they cost few changes.
+ *
+ * <p>What ends each wait: a completion waits at most {@link #GATHER} for more of its job, then for room in a transaction.
+ * Only what is new is written, so a transaction that is too small for all leaves less for the next. A completion that a
+ * lost controller had reported is reported by the next holder, from its machine, which keeps the result; where the machine
+ * is lost too, the task is run again under its allocation.
+ */
 final class Results {
     private static final Span GATHER = Span.ofSeconds(1.5);
 
--- a/src/main/java/org/quincecross/peer/PeerCodec.java
+++ b/src/main/java/org/quincecross/peer/PeerCodec.java
@@ -4,8 +4,10 @@
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
@@ -62,6 +64,7 @@
         out.packLong(block.token().number());
         out.packLong(block.allocation().number());
         out.packBoolean(block.inDoubt());
+        writeTexts(out, block.declined().stream().map(JobId::text).sorted().toList());
         out.packBoolean(block.whole());
         writeTasks(out, block.completed());
         writeTasks(out, block.released());
@@ -158,17 +161,16 @@
         Token token = new Token(in.unpackLong());
         Revision allocation = new Revision(in.unpackLong());
         boolean inDoubt = in.unpackBoolean();
+        Set<JobId> declined = new HashSet<>();
+        for (String name : readTexts(in)) {
+            declined.add(job(name));
+        }
         boolean whole = in.unpackBoolean();
         List<TaskId> completed = readTasks(in);
         List<TaskId> released = readTasks(in);
         Map<JobId, Integer> running = new HashMap<>();
         for (int i = count(in.unpackMapHeader()); i > 0; i--) {
-            JobId job = JobId.parse(in.unpackString());
-            int tasks = in.unpackInt();
-            if (job == null) {
-                throw new BadMessage("bad job id in a peer report");
-            }
-            running.put(job, tasks);
+            running.put(job(in.unpackString()), in.unpackInt());
         }
         List<PeerReport.MachineState> machines = new ArrayList<>();
         for (int i = count(in.unpackArrayHeader()); i > 0; i--) {
@@ -186,7 +188,15 @@
             machines.add(new PeerReport.MachineState(machine, free, yielding, silent, open, fenced, notice, sick,
                     movable, tasks, queued, readTexts(in), readTexts(in)));
         }
-        return new PeerReport.Block(id, token, allocation, inDoubt, whole, completed, released, running, machines);
+        return new PeerReport.Block(id, token, allocation, inDoubt, declined, whole, completed, released, running, machines);
+    }
+
+    private static JobId job(String name) throws BadMessage {
+        JobId job = JobId.parse(name);
+        if (job == null) {
+            throw new BadMessage("bad job id in a peer report");
+        }
+        return job;
     }
 
     private static List<TaskId> readTasks(MessageUnpacker in) throws IOException, BadMessage {
--- a/src/main/java/org/quincecross/peer/PeerReport.java
+++ b/src/main/java/org/quincecross/peer/PeerReport.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.quincecross.model.BlockId;
 import org.quincecross.model.Incarnation;
 import org.quincecross.model.JobId;
@@ -41,15 +42,16 @@
      *
      * @param allocation the version of the allocation that {@code released} speaks of
      * @param inDoubt whether something there waits that only a new token ends
+     * @param declined jobs that have failed on every machine that takes work there
      * @param whole whether {@code machines} are all that the block has, rather than those that have changed
      * @param completed tasks whose completion is not yet durable
      * @param released tasks that are on no machine and will not be started
      */
-    public record Block(BlockId id, Token token, Revision allocation, boolean inDoubt, boolean whole,
+    public record Block(BlockId id, Token token, Revision allocation, boolean inDoubt, Set<JobId> declined, boolean whole,
             List<TaskId> completed, List<TaskId> released, Map<JobId, Integer> running, List<MachineState> machines) {
 
         public Block with(boolean nowWhole, List<MachineState> states) {
-            return new Block(id, token, allocation, inDoubt, nowWhole, completed, released, running, states);
+            return new Block(id, token, allocation, inDoubt, declined, nowWhole, completed, released, running, states);
         }
     }
 
--- a/src/main/java/org/quincecross/peer/PeerViews.java
+++ b/src/main/java/org/quincecross/peer/PeerViews.java
@@ -23,8 +23,8 @@
 /** What each controller has told of itself and its blocks, put together from its reports. */
 public final class PeerViews {
     /** A block as its holder last described it. */
-    public record BlockView(BlockId id, Token token, Revision allocation, boolean inDoubt, List<TaskId> completed,
-            List<TaskId> released, Map<JobId, Integer> running, Map<MachineId, PeerReport.MachineState> machines) {
+    public record BlockView(BlockId id, Token token, Revision allocation, boolean inDoubt, Set<JobId> declined,
+            List<TaskId> completed, List<TaskId> released, Map<JobId, Integer> running, Map<MachineId, PeerReport.MachineState> machines) {
     }
 
     /** Told which blocks a report says something new of. */
@@ -145,7 +145,7 @@
             machines.put(machine.id(), machine);
         }
         view.blocks.put(block.id(), new BlockView(block.id(), block.token(), block.allocation(), block.inDoubt(),
-                block.completed(), block.released(), block.running(), machines));
+                block.declined(), block.completed(), block.released(), block.running(), machines));
     }
 
     private void tell(MemberId member, Collection<BlockId> changed) {
--- a/src/main/java/org/quincecross/sched/Admission.java
+++ b/src/main/java/org/quincecross/sched/Admission.java
@@ -30,6 +30,9 @@
     /** A block may be given this much of its capacity in array tasks, so that a short queue is there to start from. */
     private static final double QUEUE_AHEAD = 1.15;
 
+    /** A job that has failed in so many blocks is no reason to rent more machines. */
+    private static final int BAD_AFTER = 3;
+
     /** What a job's item in the record of a block's tasks takes beside its id and its tasks. */
     private static final int ITEM_BYTES = 6;
 
@@ -58,6 +61,7 @@
         private final int mostBytes;
         private final Resources[] usedFrom = new Resources[Rank.values().length];
         private final Map<JobId, TaskSet> admitted = new LinkedHashMap<>();
+        private Set<JobId> declined = Set.of();
         private Rank admittedRank;
         private int gangTasks;
         private int bytes;
@@ -100,6 +104,11 @@
             use(job, running);
         }
 
+        /** These jobs have failed on every machine of the block. */
+        public void decline(Set<JobId> jobs) {
+            declined = jobs;
+        }
+
         private void use(Job job, int tasks) {
             Resources more = job.each().times(tasks);
             for (int rank = 0; rank <= job.rank().ordinal(); rank++) {
@@ -276,10 +285,11 @@
             PriorityQueue<Choice> from = bound ? choices(demand, perZone) : choices;
             Choice best = from.poll();
             if (best == null) {
-                if (alike != null) {
+                int declines = declines(job);
+                if (alike != null && declines == 0) {
                     withoutRoom.computeIfAbsent(alike, a -> new ArrayList<>()).add(job.each());
                 }
-                return left;
+                return isBad(declines) ? 0 : left;
             }
             Block block = best.block;
             admit(job, index, block);
@@ -361,7 +371,7 @@
             }
         }
         if (best == null) {
-            return job.tasks();
+            return isBad(declines(job)) ? 0 : job.tasks();
         }
         for (int index = 0; index < job.tasks(); index++) {
             admit(job, index, best);
@@ -380,8 +390,18 @@
                 .thenComparing(block -> block.id);
     }
 
+    /** How many blocks a job has failed in. */
+    private int declines(Job job) {
+        return (int) blocks.stream().filter(block -> block.declined.contains(job.id())).count();
+    }
+
+    /** Whether the fault is the job's: nobody should rent machines for it to fail on. */
+    private static boolean isBad(int declines) {
+        return declines >= BAD_AFTER;
+    }
+
     private static boolean mayGo(Job job, Block block, Map<String, Integer> perZone) {
-        if (!job.allows(block.type, block.zone, block.spot)) {
+        if (!job.allows(block.type, block.zone, block.spot) || block.declined.contains(job.id())) {
             return false;
         }
         if (job.oneZone() && !perZone.isEmpty() && !perZone.containsKey(block.zone)) {
--- /dev/null
+++ b/src/test/java/org/quincecross/block/GiveBackTest.java
@@ -0,0 +1,104 @@
+package org.quincecross.block;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.junit.jupiter.api.Test;
+import org.quincecross.model.Attempt;
+import org.quincecross.model.TaskId;
+import org.quincecross.model.TaskSet;
+import org.quincecross.net.HttpOutcome;
+import org.quincecross.wire.WorkerReport.Cause;
+import org.quincecross.wire.WorkerReport.Piece;
+import org.quincecross.wire.WorkerReport.TaskState;
+
+/** Work that a block cannot run goes back to the pool, where others may have it (incident unanswered-start). */
+class GiveBackTest extends HolderHarness {
+    private void nextSecond() {
+        now += 1_000_000_000L;
+        holder.tick();
+    }
+
+    @Test
+    void whatFailsOnEveryMachineOfTheBlockGoesBackAndIsDeclinedForLongerEachTime() {
+        for (int time = 1; time <= 3; time++) {
+            Attempt attempt = attempt();
+            directIsNeverAnswered();
+            beat(List.of(piece(attempt, TaskState.EXITED, Cause.ERROR)));
+            assertEquals(List.of(TASK), holder.released());
+            assertEquals(Set.of(TASK.job()), holder.declined());
+            int declinedS = 0;
+            while (!holder.declined().isEmpty()) {
+                beat(List.of());
+                declinedS++;
+            }
+            assertEquals(30 * (1 << time - 1), declinedS, 1.0);
+            allocate(new TaskSet()); // the leader has taken it back
+            allocate(only(0)); // and, as nobody else has room, gives it here again
+            if (time < 3) {
+                assertTrue(sent.get(sent.size() - 1).contains("start"), sent.toString());
+            }
+        }
+    }
+
+    @Test
+    void whatWaitsForMachinesOfWhichNoneTakesWorkGoesBack() {
+        calls.remove(0).accept(HttpOutcome.failed(false));
+        for (int second = 0; second < 40; second++) {
+            nextSecond();
+        }
+        // Silent for longer than its lease: what was to start there is on no machine, and waits, but not for ever.
+        assertEquals(List.of(TASK), holder.released());
+    }
+
+    /**
+     * A holder that has lost the state service may have been succeeded: the new holder answers the machine, and what runs
+     * there goes on, however long this one has not heard of it (incident lost-by-a-former-holder).
+     */
+    @Test
+    void aMachineIsNotCalledLostOnTheWordOfAHolderThatMayHaveBeenSucceeded() {
+        Attempt attempt = attempt();
+        calls.remove(0).accept(HttpOutcome.failed(false));
+        beat(List.of(piece(attempt, TaskState.RUNNING, null)));
+        lastConfirmed = now + 2_000_000_000L;
+        for (int second = 0; second < 40; second++) {
+            nextSecond();
+        }
+        assertEquals(List.of(), holder.released());
+        assertEquals(1, holder.machine(MACHINE.id()).tasks());
+        lastConfirmed = now;
+        nextSecond();
+        assertEquals(0, holder.machine(MACHINE.id()).tasks());
+    }
+
+    @Test
+    void whatWaitsLongForRoomGoesBack() {
+        calls.remove(0).accept(HttpOutcome.failed(false));
+        allocate(TaskSet.below(3));
+        int second = 0;
+        while (holder.released().isEmpty() && second++ < 300) {
+            beat(started());
+        }
+        assertEquals(List.of(TASK.job().task(2)), holder.released());
+        assertEquals(111, second, 2.0); // 90 s and twice the estimate of 10 s
+    }
+
+    /** Everything that has been started, as running. */
+    private List<Piece> started() {
+        Map<TaskId, Piece> pieces = new TreeMap<>();
+        Pattern start = Pattern.compile("\"start\",\"Piece\":\"([^\"]+)\",\"Try\":([0-9]+)");
+        for (String command : sent) {
+            for (Matcher found = start.matcher(command); found.find(); ) {
+                TaskId task = TaskId.parse(found.group(1));
+                pieces.put(task, new Piece(task, new Attempt(Long.parseLong(found.group(2))), TaskState.RUNNING, null, false));
+            }
+        }
+        return List.copyOf(pieces.values());
+    }
+}
--- /dev/null
+++ b/src/test/java/org/quincecross/world/Day.java
@@ -0,0 +1,99 @@
+package org.quincecross.world;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.function.Predicate;
+import org.quincecross.model.MachineId;
+
+/** A day drawn from a seed: jobs of all kinds, troubles alone and together, then quiet. */
+final class Day {
+    private static final double FIRST_TROUBLE_S = 12;
+    private static final double LAST_TROUBLE_S = 150;
+    private static final double LONGEST_TROUBLE_S = 33;
+    /** After so much quiet whatever can run runs. */
+    private static final double QUIET_S = 120;
+    private static final int JOBS = 60;
+    /** Of so many days, one has a job of more tasks than a chunk of the records of done tasks. */
+    private static final int DAYS_PER_LARGE_JOB = 40;
+
+    private final World world;
+    private final Random random;
+    private final Liveness liveness;
+
+    Day(long seed) {
+        world = new World(seed);
+        random = world.random();
+        liveness = new Liveness(world);
+        for (int i = 0; i < JOBS; i++) {
+            int number = 1000 + i;
+            world.time().at(3 + i * 2.2, () -> world.users().submit(number));
+        }
+        if (seed % DAYS_PER_LARGE_JOB == 0) {
+            world.time().at(5, () -> world.users().submitManyTasks(999));
+        }
+        for (double at = FIRST_TROUBLE_S; at < LAST_TROUBLE_S; at += 4 + random.nextDouble() * 14) {
+            world.time().at(at, this::trouble);
+        }
+    }
+
+    /** Plays the day until all work must be over; returns what went wrong. */
+    List<String> play() {
+        world.time().runUntil(LAST_TROUBLE_S + LONGEST_TROUBLE_S + QUIET_S);
+        liveness.watch();
+        List<String> wrong = new ArrayList<>(liveness.findings());
+        wrong.addAll(world.rules().broken());
+        if (world.rules().starts() <= JOBS) {
+            wrong.add("little was started: " + world.rules().starts());
+        }
+        return wrong;
+    }
+
+    private void trouble() {
+        int node = random.nextInt(World.NODES);
+        double length = 3 + random.nextDouble() * (LONGEST_TROUBLE_S - 3);
+        boolean lose = random.nextBoolean();
+        List<MachineId> machines = world.cloud().machines();
+        MachineId machine = machines.isEmpty() ? new MachineId("none") : machines.get(random.nextInt(machines.size()));
+        switch (random.nextInt(13)) {
+            case 0 -> world.crash(node);
+            case 1 -> {
+                for (int i = 0; i < World.NODES; i++) {
+                    world.crash(i);
+                }
+            }
+            case 2 -> world.state().outage(length);
+            case 3 -> world.state().refuse(World.nodeName(node), length);
+            case 4 -> world.cut(World.nodeName(node), "state", length, lose);
+            case 5 -> machines.forEach(each -> world.cut(World.nodeName(node), each.text(), length, random.nextBoolean()));
+            case 6 -> world.cut(World.nodeName(node), World.nodeName((node + 1) % World.NODES), length, lose);
+            case 7 -> {
+                for (int i = 0; i < World.NODES; i++) {
+                    world.cut(World.nodeName(i), machine.text(), length, random.nextBoolean());
+                }
+            }
+            case 8 -> world.cloud().outage(length);
+            case 9 -> machines.stream().filter(each -> random.nextInt(4) == 0)
+                    .forEach(each -> world.cloud().take(each, 3 + random.nextDouble() * 15));
+            case 10 -> cutZone(node % VirtualCloud.ZONES.size(), length, lose);
+            case 11 -> machines.forEach(each -> world.cut(World.nodeName(random.nextInt(World.NODES)), each.text(),
+                    3 + random.nextDouble() * 5, random.nextBoolean()));
+            default -> world.cloud().take(machine, 0);
+        }
+    }
+
+    /** Cuts a zone off from everything outside: its machines and controllers still hear one another. */
+    private void cutZone(int zone, double length, boolean lose) {
+        String name = VirtualCloud.ZONES.get(zone);
+        List<String> inside = new ArrayList<>();
+        List<String> outside = new ArrayList<>(List.of("state", "cloud", "users"));
+        Predicate<String> isInside = name::equals;
+        for (int i = 0; i < World.NODES; i++) {
+            (isInside.test(VirtualCloud.ZONES.get(i % VirtualCloud.ZONES.size())) ? inside : outside).add(World.nodeName(i));
+        }
+        for (VirtualWorker worker : world.cloud().workers()) {
+            (isInside.test(worker.machine().zone()) ? inside : outside).add(worker.machine().id().text());
+        }
+        inside.forEach(in -> outside.forEach(out -> world.cut(in, out, length, lose)));
+    }
+}
--- a/src/test/java/org/quincecross/world/Rules.java
+++ b/src/test/java/org/quincecross/world/Rules.java
@@ -83,6 +83,34 @@
         done.computeIfAbsent(task.job(), job -> new HashSet<>()).add(task.index());
     }
 
+    boolean isCompleted(TaskId task) {
+        return done.getOrDefault(task.job(), Set.of()).contains(task.index());
+    }
+
+    int completedTasks(JobId job) {
+        return done.getOrDefault(job, Set.of()).size();
+    }
+
+    /** When a job's user was told that it is cancelled, or null. */
+    Double cancelledAt(JobId job) {
+        return cancelled.get(job);
+    }
+
+    /** How many tasks of a job are on machines. */
+    int onMachines(JobId job) {
+        return (int) on.keySet().stream().filter(task -> task.job().equals(job)).count();
+    }
+
+    /** What the tasks of a team take that are on machines. */
+    Resources used(String team) {
+        Resources used = Resources.NONE;
+        for (Map.Entry<TaskId, Map<MachineId, Machine>> entry : on.entrySet()) {
+            Job job = world.job(entry.getKey().job());
+            used = job.team().equals(team) ? used.plus(job.each().times(entry.getValue().size())) : used;
+        }
+        return used;
+    }
+
     /** To be called now and then. */
     void check() {
         cancelled.forEach((job, at) -> on.forEach((task, places) -> {
--- /dev/null
+++ b/src/test/java/org/quincecross/world/SeedsTest.java
@@ -0,0 +1,36 @@
+package org.quincecross.world;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentSkipListMap;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Many days, for a machine with time: {@code mvn -B -Pseeds test -Dseeds=20000-24999}. No part of the ordinary tests. A
+ * seed that fails here goes into {@link WholeServiceTest}.
+ */
+@Tag("seeds")
+class SeedsTest {
+    @Test
+    void everyDayKeepsTheRulesAndNothingHangs() {
+        String[] range = System.getProperty("seeds", "20000-24999").split("-");
+        Map<Long, Object> wrong = new ConcurrentSkipListMap<>();
+        LongStream.rangeClosed(Long.parseLong(range[0]), Long.parseLong(range[1])).parallel().forEach(seed -> {
+            Object findings;
+            try {
+                findings = new Day(seed).play();
+            } catch (RuntimeException | AssertionError e) {
+                findings = e;
+            }
+            if (!findings.equals(List.of())) {
+                wrong.put(seed, findings);
+                System.err.println("seed " + seed + ": " + findings);
+            }
+        });
+        assertEquals(Map.of(), wrong);
+    }
+}
