--- a/src/main/java/org/quincecross/block/BlockHolder.java
+++ b/src/main/java/org/quincecross/block/BlockHolder.java
@@ -3,13 +3,11 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.TreeSet;
 import org.quincecross.model.Attempt;
 import org.quincecross.model.BlockId;
 import org.quincecross.model.Job;
@@ -18,7 +16,6 @@
 import org.quincecross.model.Machine;
 import org.quincecross.model.MachineId;
 import org.quincecross.model.MachineType;
-import org.quincecross.model.Rank;
 import org.quincecross.model.Resources;
 import org.quincecross.model.Revision;
 import org.quincecross.model.Shape;
@@ -30,17 +27,13 @@
 import org.quincecross.peer.PeerReport;
 import org.quincecross.sched.BlockScheduler;
 import org.quincecross.sched.Entry;
-import org.quincecross.sched.Preemption;
 import org.quincecross.state.Allocation;
 import org.quincecross.state.BlockLease;
 import org.quincecross.state.JobRecord;
 import org.quincecross.wire.Order;
-import org.quincecross.wire.Settings;
 import org.quincecross.wire.WorkerCodec;
 import org.quincecross.wire.WorkerReport;
-import org.quincecross.wire.WorkerReport.Cause;
 import org.quincecross.wire.WorkerReport.Piece;
-import org.quincecross.wire.WorkerReport.TaskState;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -58,14 +51,6 @@
     private static final double CLOCK_DRIFT = 1.001;
     /** An attempt is the block's token, then this many bits of a count: larger under every later lease. */
     private static final int ATTEMPT_BITS = 20;
-    /** A replica that has just been started should not be stopped again for tidiness. */
-    private static final Span MOVABLE_AFTER = Span.ofSeconds(40);
-    private static final Span GANG_PATIENCE = Span.ofSeconds(30);
-    /** Beyond twice its estimate: what runs before it should have ended by then. */
-    private static final Span LONG_WAIT = Span.ofSeconds(90);
-    /** How long work waits for any machine of the block to take work again. */
-    private static final Span NONE_OPEN_PATIENCE = Span.ofSeconds(10);
-    private static final Span ROOM_PATIENCE = Span.ofMillis(20);
     /** Where a stop has waited so long for a start that was never answered, a new token is asked for. */
     private static final Span DOUBT_PATIENCE = Span.ofSeconds(8);
     /** So many exits that cannot be cleared make a machine's reports long enough to ask for a new token. */
@@ -80,13 +65,16 @@
     private final Set<MachineId> toUpdate = new LinkedHashSet<>();
     private final BlockReporter reporter;
     private final Commands commands;
+    private final Intake intake;
+    private final MachineViews views;
+    private final RoomMaker rooms;
+    private final GivingBack givingBack;
     private BlockLease lease;
     private boolean settled;
     private boolean superseded;
     private boolean stirred = true;
     private boolean entitled;
     private SteadyTime wakeAt;
-    private SteadyTime noneOpenSince;
     private Revision synced = Revision.NONE;
     private long attempts;
 
@@ -96,6 +84,10 @@
         this.lease = lease;
         this.reporter = new BlockReporter(this);
         this.commands = new Commands(context, this, placements, sessions);
+        this.intake = new Intake(context, this, placements, blame);
+        this.views = new MachineViews(context, this, placements, sessions, scheduler);
+        this.rooms = new RoomMaker(this, placements, entries, sessions, scheduler);
+        this.givingBack = new GivingBack(context, this, placements, entries, sessions, blame);
         SteadyTime now = context.now();
         for (Machine machine : lease.machines().values()) {
             addMachine(machine, now.plus(context.longestUnconfirmed()));
@@ -152,7 +144,7 @@
     }
 
     /** What a machine has or may be given has changed: to be looked at before the next work starts. */
-    private void stir(Session session) {
+    void stir(Session session) {
         toUpdate.add(session.machine().id());
         stirred = true;
     }
@@ -164,7 +156,7 @@
         for (MachineId machine : List.copyOf(sessions.keySet())) {
             if (!next.machines().containsKey(machine)) {
                 // The leader takes a machine out only once it is gone, and all that was on it.
-                freeAll(machine, now);
+                intake.freeAll(machine, now);
                 sessions.remove(machine);
                 scheduler.removeMachine(machine);
             }
@@ -263,7 +255,7 @@
         placements.remove(placement);
     }
 
-    private void dequeue(TaskId task) {
+    void dequeue(TaskId task) {
         Entry entry = entries.remove(task);
         if (entry != null) {
             scheduler.remove(entry);
@@ -300,8 +292,8 @@
                 entry.avoidFetch();
             }
             if (placement.failures() > 0) {
-                if (hasFailedEverywhere(job)) {
-                    decline(job, unit);
+                if (givingBack.hasFailedEverywhere(job)) {
+                    givingBack.decline(job, unit);
                     continue;
                 }
                 entry.avoided().addAll(blame.failedOn(job.id()));
@@ -316,27 +308,6 @@
         }
     }
 
-    /** Whether a job has failed on every machine that takes work here. */
-    private boolean hasFailedEverywhere(Job job) {
-        Set<MachineId> failedOn = blame.failedOn(job.id());
-        return !failedOn.isEmpty() && sessions.values().stream()
-                .allMatch(session -> failedOn.contains(session.machine().id()) || !isOpen(session));
-    }
-
-    /**
-     * Gives back work that has failed on all that this block has. One machine that fails what it is given looks from
-     * here like a job that fails wherever it is tried: other blocks tell them apart, and a task that only this block
-     * may have would be tried here for ever. The leader does not give it to this block again for a while.
-     */
-    private void decline(Job job, List<TaskId> unit) {
-        SteadyTime now = context.now();
-        LOG.info("block {}: {} has failed on every machine here", id(), job.id());
-        blame.decline(job.id(), now);
-        unit.forEach(task -> placements.get(task).release(now));
-        reporter.headerChanged();
-        context.newsForLeader();
-    }
-
     /** The jobs that the block should not be given. */
     Set<JobId> declined() {
         return blame.declined(context.now());
@@ -350,7 +321,7 @@
     }
 
     /** Has the queues looked at again at a time, though nothing may have happened by then. */
-    private void wakeBy(SteadyTime time) {
+    void wakeBy(SteadyTime time) {
         if (wakeAt == null || time.isBefore(wakeAt)) {
             wakeAt = time;
         }
@@ -389,21 +360,6 @@
         return List.of();
     }
 
-    /** Stops a task and, of a gang, all others with it: progress is saved only if all are told in time. */
-    private void stopAll(Placement placement, boolean back, SteadyTime now) {
-        Job job = placement.job();
-        if (job.shape() != Shape.GANG) {
-            placement.stop(graceOf(job), back, now);
-            return;
-        }
-        for (int i = 0; i < job.tasks(); i++) {
-            Placement member = placements.get(job.id().task(i));
-            if (member != null && member.isBound()) {
-                member.stop(graceOf(job), back, now);
-            }
-        }
-    }
-
     // ---- reports ----
 
     /** Answers a worker's report; null where this controller is not entitled to. */
@@ -449,7 +405,7 @@
         }
         if (newSession || session.state() == Session.State.LOST) {
             // The worker has killed and forgotten all that it had, and what it has now is in this report.
-            freeUnreported(session, now);
+            intake.freeUnreported(session, now);
             if (session.state() == Session.State.LOST) {
                 session.enter(Session.State.UNFENCED);
                 stir(session);
@@ -464,121 +420,12 @@
             LOG.debug("block {}: machine {} fenced", id(), session.machine().id());
         }
         for (Piece piece : report.pieces()) {
-            takePiece(session, piece, now);
+            intake.takePiece(session, piece, now);
         }
-        freeMissing(session, beat, now);
+        intake.freeMissing(session, beat, now);
         settle();
     }
 
-    private void takePiece(Session session, Piece piece, SteadyTime now) {
-        Placement placement = placements.get(piece.task());
-        MachineId machine = session.machine().id();
-        if (placement == null) {
-            return;
-        }
-        boolean ours = placement.isBoundTo(machine, piece.attempt());
-        if (piece.state() != TaskState.EXITED) {
-            boolean hasImage = piece.state() != TaskState.FETCHING;
-            session.usedImage(placement.job().image(), placement.job().imageGb());
-            if (hasImage) {
-                session.fetched(placement.job().image());
-            }
-            if (ours || placement.state() == Placement.State.UNSETTLED) {
-                boolean ran = placement.isRunning();
-                placement.reported(machine, piece.attempt(), hasImage && piece.state() != TaskState.WAITING, now);
-                if (!ran && placement.isRunning()) {
-                    LOG.debug("block {}: {} runs on {}", id(), placement.task(), machine);
-                }
-                if (placement.isRunning() && now.since(placement.runningSince()).isMoreThan(Span.ofSeconds(10))) {
-                    session.failures().remove(placement.task().job());
-                    blame.succeeded(placement.task().job());
-                }
-            }
-            return;
-        }
-        if (piece.cause() == Cause.DONE && placement.job().shape() != Shape.SERVICE) {
-            boolean open = placement.state() != Placement.State.COMPLETED && placement.state() != Placement.State.RELEASED;
-            if (open && (ours || placement.state() == Placement.State.UNSETTLED || placement.state() == Placement.State.WAITING)) {
-                dequeue(piece.task());
-                session.failures().clear();
-                blame.succeeded(piece.task().job());
-                placement.completed(machine, piece.attempt(), now);
-                context.newsForLeader();
-            }
-            return;
-        }
-        if (ours) {
-            // Also where a start of this attempt may still arrive: the worker keeps the exit until it is cleared, which
-            // Commands does not do before that start is surely over, and while it keeps it such a start does nothing.
-            // Guards against docs/incidents/unanswered-start.md: a task that waited for an answer that never came.
-            exited(session, placement, piece, now);
-        }
-    }
-
-    private void exited(Session session, Placement placement, Piece piece, SteadyTime now) {
-        MachineId machine = session.machine().id();
-        JobId job = placement.task().job();
-        if (piece.cause() == Cause.ERROR) {
-            placement.failed();
-            if (blame.failed(session, job)) {
-                LOG.info("block {}: machine {} fails what it is given: no more work there", id(), machine);
-                session.markSick();
-                stir(session);
-                context.newsForLeader();
-            }
-        } else if (piece.cause() == Cause.FULL || piece.cause() == Cause.IN_USE || piece.cause() == Cause.NO_SUCH) {
-            LOG.info("block {}: {} refused {}: {}", id(), machine, placement.task(), piece.cause());
-            placement.failed();
-        }
-        placement.gone(now);
-        LOG.debug("block {}: {} has left {}, {}", id(), placement.task(), machine, piece.cause());
-        if (placement.state() == Placement.State.RELEASED) {
-            context.newsForLeader();
-        }
-    }
-
-    /** Tasks bound to the machine that its complete report does not have. */
-    private void freeMissing(Session session, boolean beat, SteadyTime now) {
-        // By attempt: a machine may still report the exit of an earlier attempt of a task that it is to start again.
-        Set<Attempt> reported = reportedAttempts(session);
-        for (Placement placement : placements.on(session.machine().id())) {
-            if (!placement.isBound() || reported.contains(placement.attempt())) {
-                continue;
-            }
-            if (placement.state() == Placement.State.STARTING) {
-                placement.untell(); // the start did not get there, or not yet: it may be repeated
-            } else if (beat && !session.mayStillStart(placement.attempt())) {
-                placement.gone(now);
-                context.newsForLeader();
-            }
-        }
-    }
-
-    private static Set<Attempt> reportedAttempts(Session session) {
-        Set<Attempt> reported = new HashSet<>();
-        session.report().pieces().forEach(piece -> reported.add(piece.attempt()));
-        return reported;
-    }
-
-    private void freeUnreported(Session session, SteadyTime now) {
-        Set<Attempt> reported = reportedAttempts(session);
-        for (Placement placement : placements.on(session.machine().id())) {
-            if (placement.isBound() && !reported.contains(placement.attempt())) {
-                placement.gone(now);
-            }
-        }
-        context.newsForLeader();
-    }
-
-    private void freeAll(MachineId machine, SteadyTime now) {
-        for (Placement placement : placements.on(machine)) {
-            if (placement.isBound()) {
-                placement.gone(now);
-            }
-        }
-        context.newsForLeader();
-    }
-
     /** Once every machine is fenced or lost, what none of them reported is surely nowhere. */
     private void settle() {
         if (settled || sessions.values().stream().anyMatch(session -> session.state() == Session.State.UNFENCED)) {
@@ -604,7 +451,7 @@
             if (session.state() != Session.State.LOST && confirmed != null && session.leaseIsOver(lease, confirmed)) {
                 LOG.info("block {}: machine {} is silent and its lease is over", id(), session.machine().id());
                 session.enter(Session.State.LOST);
-                freeAll(session.machine().id(), now);
+                intake.freeAll(session.machine().id(), now);
                 stir(session);
                 settle();
             }
@@ -645,7 +492,7 @@
         }
     }
 
-    private boolean isOpen(Session session) {
+    boolean isOpen(Session session) {
         return session.state() == Session.State.FENCED && !session.isSick() && !session.hasNotice()
                 && !lease.leaving().contains(session.machine().id())
                 && !context.now().since(session.heard()).isMoreThan(context.workers().report().times(2).plus(Span.ofSeconds(2)));
@@ -665,8 +512,8 @@
             Session session = sessions.get(machine);
             if (session != null) {
                 session.found(isOpen(session));
-                scheduler.update(machine, used(session), displaceable(machine), session.wasOpen());
-                scheduler.fetching(machine, fetching(session));
+                scheduler.update(machine, views.used(session), views.displaceable(machine), session.wasOpen());
+                scheduler.fetching(machine, views.fetching(session));
             }
         }
         reporter.machinesChanged(toUpdate);
@@ -688,214 +535,11 @@
                 sessions.get(machine).usedImage(placement.job().image(), placement.job().imageGb());
             }
         }
-        giveBackGangs(now);
-        giveBackLongWaiting(now);
-        makeRoom(now);
-        clearNoticed(now);
-        clearLeaving(now);
-    }
-
-    /** What the machine's tasks take: those placed there, and what else it reports. */
-    Resources used(Session session) {
-        Resources used = Resources.NONE;
-        MachineId machine = session.machine().id();
-        for (Placement placement : placements.on(machine)) {
-            if (placement.isBound()) {
-                used = used.plus(placement.job().each());
-            }
-        }
-        if (session.report() != null) {
-            for (Piece piece : session.report().pieces()) {
-                Placement placement = placements.get(piece.task());
-                boolean counted = placement != null && placement.isBoundTo(machine, piece.attempt());
-                JobRecord job = context.ledger().job(piece.task().job());
-                if (piece.state() != TaskState.EXITED && !counted && job != null && job.job() != null) {
-                    used = used.plus(job.job().each());
-                }
-            }
-        }
-        return used;
-    }
-
-    /** What urgent work could have in a moment: what takes no time to stop, or is being stopped already. */
-    private Resources displaceable(MachineId machine) {
-        Resources sum = Resources.NONE;
-        for (Placement placement : placements.on(machine)) {
-            Job job = placement.job();
-            if (placement.state() == Placement.State.STOPPING || placement.isBound() && job.rank() != Rank.PRODUCTION
-                    && job.shape() != Shape.GANG && !job.saves()) {
-                sum = sum.plus(job.each());
-            }
-        }
-        return sum;
-    }
-
-    /** The images that tasks on the machine wait for, and the highest priority among those tasks. */
-    private Map<String, Rank> fetching(Session session) {
-        Map<String, Rank> images = new HashMap<>();
-        for (Placement placement : placements.on(session.machine().id())) {
-            if (placement.isBound() && !placement.isRunning() && session.isFetching(placement.job().image())) {
-                images.merge(placement.job().image(), placement.job().rank(), (one, other) -> one.isAbove(other) ? one : other);
-            }
-        }
-        return images;
-    }
-
-    /**
-     * A gang that has waited long may wait for ever: services that stay for hours can be all over the machines that it
-     * needs. The leader may know a better block by now.
-     */
-    private void giveBackGangs(SteadyTime now) {
-        for (Entry entry : Set.copyOf(entries.values())) {
-            Placement first = placements.get(entry.tasks().get(0));
-            if (entry.job().shape() != Shape.GANG) {
-                continue;
-            }
-            SteadyTime patient = first.since().plus(GANG_PATIENCE);
-            if (now.isBefore(patient)) {
-                wakeBy(patient);
-                continue;
-            }
-            dequeue(first.task());
-            entry.tasks().forEach(task -> placements.get(task).release(now));
-            context.newsForLeader();
-        }
-    }
-
-    /**
-     * What has waited here for long may wait for ever as well: behind services that stay for hours, or for machines of
-     * which none takes work any more. In the pool it may go where there is room.
-     */
-    private void giveBackLongWaiting(SteadyTime now) {
-        if (sessions.values().stream().anyMatch(this::isOpen)) {
-            noneOpenSince = null;
-        } else if (noneOpenSince == null) {
-            noneOpenSince = now;
-        }
-        for (Placement placement : placements.in(Placement.State.WAITING)) {
-            Job job = placement.job();
-            SteadyTime patient = placement.since().plus(LONG_WAIT.plus(job.estimate().times(2)));
-            if (noneOpenSince != null && noneOpenSince.plus(NONE_OPEN_PATIENCE).isBefore(patient)) {
-                patient = noneOpenSince.plus(NONE_OPEN_PATIENCE);
-            }
-            if (job.shape() == Shape.GANG && noneOpenSince == null) {
-                continue; // goes back as one, and sooner
-            }
-            if (now.isBefore(patient)) {
-                wakeBy(patient);
-                continue;
-            }
-            dequeue(placement.task());
-            placement.release(now);
-            context.newsForLeader();
-        }
-    }
-
-    /** Stops work of lower priority for work that has waited a moment and fits nowhere. */
-    private void makeRoom(SteadyTime now) {
-        if (entries.isEmpty()) {
-            return;
-        }
-        Preemption preemption = null;
-        for (Entry entry : Set.copyOf(entries.values()).stream().sorted(Entry.ORDER).toList()) {
-            Placement first = placements.get(entry.tasks().get(0));
-            if (entry.tasks().size() > 1) {
-                continue;
-            }
-            SteadyTime patient = first.since().plus(patience(first.job()));
-            if (now.isBefore(patient)) {
-                wakeBy(patient);
-                continue;
-            }
-            preemption = preemption == null ? new Preemption(scheduler, stoppable(), stopping()) : preemption;
-            for (Preemption.Running victim : preemption.makeRoom(entry)) {
-                LOG.info("block {}: {} makes room for {}", id(), victim.task(), first.task());
-                stopAll(placements.get(victim.task()), true, now);
-            }
-        }
-    }
-
-    /** What the tasks take that are being stopped, on each machine. */
-    private Map<MachineId, Resources> stopping() {
-        Map<MachineId, Resources> stopping = new HashMap<>();
-        for (Placement placement : placements.in(Placement.State.STOPPING)) {
-            stopping.merge(placement.machine(), placement.job().each(), Resources::plus);
-        }
-        return stopping;
-    }
-
-    private List<Preemption.Running> stoppable() {
-        List<Preemption.Running> running = new ArrayList<>();
-        for (Placement.State state : List.of(Placement.State.STARTING, Placement.State.ACTIVE)) {
-            for (Placement placement : placements.in(state)) {
-                if (placement.job().shape() != Shape.GANG) {
-                    running.add(new Preemption.Running(placement.task(), placement.machine(), placement.job().rank(),
-                            placement.job().each(), placement.job().saves(), placement.since()));
-                }
-            }
-        }
-        return running;
-    }
-
-    /** How long work waits before other work is stopped for it: what is queued ahead of its time may well start soon. */
-    private static Span patience(Job job) {
-        return job.rank() == Rank.PRODUCTION ? ROOM_PATIENCE
-                : Span.ofSeconds(Math.max(5, 0.25 * job.estimate().seconds()));
-    }
-
-    /** A machine that is about to be taken: what can save does so, and what cannot finish goes elsewhere at once. */
-    private void clearNoticed(SteadyTime now) {
-        for (Session session : sessions.values()) {
-            if (!session.hasNotice()) {
-                continue;
-            }
-            for (Placement placement : placements.on(session.machine().id())) {
-                if (!placement.isBound() || placement.state() == Placement.State.STOPPING) {
-                    continue;
-                }
-                double left = placement.job().estimate().seconds()
-                        - (placement.isRunning() ? now.since(placement.runningSince()).seconds() : 0);
-                if (left < 0 || left > 0.6 * session.report().notice().seconds() || placement.job().shape() == Shape.SERVICE) {
-                    stopAll(placement, true, now);
-                }
-            }
-        }
-    }
-
-    /**
-     * A machine that is to go back to the cloud, or fails what it is given: its work goes elsewhere. What has room and
-     * its image on another machine of the block starts there at once, the rest goes back to the pool.
-     */
-    private void clearLeaving(SteadyTime now) {
-        Map<MachineId, Resources> room = new LinkedHashMap<>();
-        List<Placement> toMove = new ArrayList<>();
-        for (Session session : sessions.values()) {
-            if (session.isSick() || lease.leaving().contains(session.machine().id())) {
-                toMove.addAll(placements.on(session.machine().id()));
-            }
-        }
-        for (Placement placement : toMove) {
-            if (!placement.isBound() || placement.state() == Placement.State.STOPPING) {
-                continue;
-            }
-            if (room.isEmpty()) {
-                sessions.values().stream().filter(this::isOpen).forEach(session ->
-                        room.put(session.machine().id(), session.capacity().minus(used(session))));
-            }
-            boolean back = true;
-            for (Map.Entry<MachineId, Resources> other : room.entrySet()) {
-                if (back && placement.job().each().fitsIn(other.getValue())
-                        && sessions.get(other.getKey()).hasImage(placement.job().image())) {
-                    other.setValue(other.getValue().minus(placement.job().each()));
-                    back = false;
-                }
-            }
-            stopAll(placement, back, now);
-        }
-    }
-
-    private static Span graceOf(Job job) {
-        return job.saves() ? job.saveTime().plus(Span.ofSeconds(1)) : Span.ZERO;
+        givingBack.giveBackGangs(now);
+        givingBack.giveBackLongWaiting(now);
+        rooms.makeRoom(now);
+        rooms.clearNoticed(now);
+        rooms.clearLeaving(now);
     }
 
     // ---- what others want to know ----
@@ -945,7 +589,7 @@
         for (Placement placement : placements.in(Placement.State.STOPPING)) {
             Session session = sessions.get(placement.machine());
             if (session.isInDoubt(placement.attempt()) && now.since(placement.since()).isMoreThan(DOUBT_PATIENCE)
-                    && !reportedAttempts(session).contains(placement.attempt())) {
+                    && !session.reportedAttempts().contains(placement.attempt())) {
                 return true;
             }
         }
@@ -962,40 +606,21 @@
         return placements.jobs();
     }
 
-    public BlockReporter reporter() {
-        return reporter;
+    /** What is known of a machine, or null if it is not in the block. */
+    PeerReport.MachineState machine(MachineId id) {
+        return views.machine(id);
     }
 
-    /** What is known of a machine, for the leader and for operators; null if it is not in the block. */
-    PeerReport.MachineState machine(MachineId id) {
-        Session session = sessions.get(id);
-        if (session == null) {
-            return null;
-        }
-        SteadyTime now = context.now();
-        int tasks = 0;
-        boolean movable = true;
-        Set<String> inUse = new TreeSet<>();
-        for (Placement placement : placements.on(id)) {
-            tasks++;
-            inUse.add(placement.job().image());
-            movable &= placement.job().shape() == Shape.SERVICE && placement.state() == Placement.State.ACTIVE
-                    && placement.isRunning() && now.since(placement.runningSince()).isMoreThan(MOVABLE_AFTER);
-        }
-        Span silent = now.since(session.heard());
-        return new PeerReport.MachineState(id, session.capacity().minus(used(session)), displaceable(id),
-                silent.isMoreThan(quiet(context.workers())) ? Span.ofSeconds(Math.floor(silent.seconds())) : Span.ZERO,
-                isOpen(session), session.state() == Session.State.FENCED, session.hasNotice(), session.isSick(), movable,
-                tasks, scheduler.machine(id).waiting().size(), session.images(), List.copyOf(inUse));
+    Resources used(Session session) {
+        return views.used(session);
     }
 
-    /** A machine that has reported this lately is not called silent. */
-    private static Span quiet(Settings.Workers workers) {
-        return workers.report().times(1.25).plus(Span.ofSeconds(2));
+    public BlockReporter reporter() {
+        return reporter;
     }
 
     public List<PeerReport.MachineState> machines() {
-        return sessions.keySet().stream().map(this::machine).toList();
+        return sessions.keySet().stream().map(views::machine).toList();
     }
 
     public int waitingCount() {
--- /dev/null
+++ b/src/main/java/org/quincecross/block/GivingBack.java
@@ -0,0 +1,113 @@
+package org.quincecross.block;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.quincecross.model.Job;
+import org.quincecross.model.MachineId;
+import org.quincecross.model.Shape;
+import org.quincecross.model.Span;
+import org.quincecross.model.SteadyTime;
+import org.quincecross.model.TaskId;
+import org.quincecross.sched.Entry;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Gives work that the block cannot run back to the pool, where others may have it. */
+final class GivingBack {
+    private static final Logger LOG = LoggerFactory.getLogger(GivingBack.class);
+    private static final Span GANG_PATIENCE = Span.ofSeconds(30);
+    /** Beyond twice its estimate: what runs before it should have ended by then. */
+    private static final Span LONG_WAIT = Span.ofSeconds(90);
+    /** How long work waits for any machine of the block to take work again. */
+    private static final Span NONE_OPEN_PATIENCE = Span.ofSeconds(10);
+
+    private final HolderContext context;
+    private final BlockHolder holder;
+    private final Placements placements;
+    private final Map<TaskId, Entry> entries;
+    private final Map<MachineId, Session> sessions;
+    private final Blame blame;
+    private SteadyTime noneOpenSince;
+
+    GivingBack(HolderContext context, BlockHolder holder, Placements placements, Map<TaskId, Entry> entries,
+            Map<MachineId, Session> sessions, Blame blame) {
+        this.context = context;
+        this.holder = holder;
+        this.placements = placements;
+        this.entries = entries;
+        this.sessions = sessions;
+        this.blame = blame;
+    }
+
+    /**
+     * A gang that has waited long may wait for ever: services that stay for hours can be all over the machines that it
+     * needs. The leader may know a better block by now.
+     */
+    void giveBackGangs(SteadyTime now) {
+        for (Entry entry : Set.copyOf(entries.values())) {
+            Placement first = placements.get(entry.tasks().get(0));
+            if (entry.job().shape() != Shape.GANG) {
+                continue;
+            }
+            SteadyTime patient = first.since().plus(GANG_PATIENCE);
+            if (now.isBefore(patient)) {
+                holder.wakeBy(patient);
+                continue;
+            }
+            holder.dequeue(first.task());
+            entry.tasks().forEach(task -> placements.get(task).release(now));
+            context.newsForLeader();
+        }
+    }
+
+    /**
+     * What has waited here for long may wait for ever as well: behind services that stay for hours, or for machines of
+     * which none takes work any more. In the pool it may go where there is room.
+     */
+    void giveBackLongWaiting(SteadyTime now) {
+        if (sessions.values().stream().anyMatch(holder::isOpen)) {
+            noneOpenSince = null;
+        } else if (noneOpenSince == null) {
+            noneOpenSince = now;
+        }
+        for (Placement placement : placements.in(Placement.State.WAITING)) {
+            Job job = placement.job();
+            SteadyTime patient = placement.since().plus(LONG_WAIT.plus(job.estimate().times(2)));
+            if (noneOpenSince != null && noneOpenSince.plus(NONE_OPEN_PATIENCE).isBefore(patient)) {
+                patient = noneOpenSince.plus(NONE_OPEN_PATIENCE);
+            }
+            if (job.shape() == Shape.GANG && noneOpenSince == null) {
+                continue; // goes back as one, and sooner
+            }
+            if (now.isBefore(patient)) {
+                holder.wakeBy(patient);
+                continue;
+            }
+            holder.dequeue(placement.task());
+            placement.release(now);
+            context.newsForLeader();
+        }
+    }
+
+    /** Whether a job has failed on every machine that takes work here. */
+    boolean hasFailedEverywhere(Job job) {
+        Set<MachineId> failedOn = blame.failedOn(job.id());
+        return !failedOn.isEmpty() && sessions.values().stream()
+                .allMatch(session -> failedOn.contains(session.machine().id()) || !holder.isOpen(session));
+    }
+
+    /**
+     * Gives back work that has failed on all that this block has. One machine that fails what it is given looks from
+     * here like a job that fails wherever it is tried: other blocks tell them apart, and a task that only this block
+     * may have would be tried here for ever. The leader does not give it to this block again for a while.
+     */
+    void decline(Job job, List<TaskId> unit) {
+        SteadyTime now = context.now();
+        LOG.info("block {}: {} has failed on every machine here", holder.id(), job.id());
+        blame.decline(job.id(), now);
+        unit.forEach(task -> placements.get(task).release(now));
+        holder.reporter().headerChanged();
+        context.newsForLeader();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/quincecross/block/MachineViews.java
@@ -0,0 +1,115 @@
+package org.quincecross.block;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import org.quincecross.model.Job;
+import org.quincecross.model.MachineId;
+import org.quincecross.model.Rank;
+import org.quincecross.model.Resources;
+import org.quincecross.model.Shape;
+import org.quincecross.model.Span;
+import org.quincecross.model.SteadyTime;
+import org.quincecross.peer.PeerReport;
+import org.quincecross.sched.BlockScheduler;
+import org.quincecross.state.JobRecord;
+import org.quincecross.wire.Settings;
+import org.quincecross.wire.WorkerReport.Piece;
+import org.quincecross.wire.WorkerReport.TaskState;
+
+/** What machines have room for and are doing, put together from placements and reports. */
+final class MachineViews {
+    /** A replica that has just been started should not be stopped again for tidiness. */
+    private static final Span MOVABLE_AFTER = Span.ofSeconds(40);
+
+    private final HolderContext context;
+    private final BlockHolder holder;
+    private final Placements placements;
+    private final Map<MachineId, Session> sessions;
+    private final BlockScheduler scheduler;
+
+    MachineViews(HolderContext context, BlockHolder holder, Placements placements, Map<MachineId, Session> sessions,
+            BlockScheduler scheduler) {
+        this.context = context;
+        this.holder = holder;
+        this.placements = placements;
+        this.sessions = sessions;
+        this.scheduler = scheduler;
+    }
+
+    /** What the machine's tasks take: those placed there, and what else it reports. */
+    Resources used(Session session) {
+        Resources used = Resources.NONE;
+        MachineId machine = session.machine().id();
+        for (Placement placement : placements.on(machine)) {
+            if (placement.isBound()) {
+                used = used.plus(placement.job().each());
+            }
+        }
+        if (session.report() != null) {
+            for (Piece piece : session.report().pieces()) {
+                Placement placement = placements.get(piece.task());
+                boolean counted = placement != null && placement.isBoundTo(machine, piece.attempt());
+                JobRecord job = context.ledger().job(piece.task().job());
+                if (piece.state() != TaskState.EXITED && !counted && job != null && job.job() != null) {
+                    used = used.plus(job.job().each());
+                }
+            }
+        }
+        return used;
+    }
+
+    /** What urgent work could have in a moment: what takes no time to stop, or is being stopped already. */
+    Resources displaceable(MachineId machine) {
+        Resources sum = Resources.NONE;
+        for (Placement placement : placements.on(machine)) {
+            Job job = placement.job();
+            if (placement.state() == Placement.State.STOPPING || placement.isBound() && job.rank() != Rank.PRODUCTION
+                    && job.shape() != Shape.GANG && !job.saves()) {
+                sum = sum.plus(job.each());
+            }
+        }
+        return sum;
+    }
+
+    /** The images that tasks on the machine wait for, and the highest priority among those tasks. */
+    Map<String, Rank> fetching(Session session) {
+        Map<String, Rank> images = new HashMap<>();
+        for (Placement placement : placements.on(session.machine().id())) {
+            if (placement.isBound() && !placement.isRunning() && session.isFetching(placement.job().image())) {
+                images.merge(placement.job().image(), placement.job().rank(), (one, other) -> one.isAbove(other) ? one : other);
+            }
+        }
+        return images;
+    }
+
+    /** What is known of a machine, for the leader and for operators; null if it is not in the block. */
+    PeerReport.MachineState machine(MachineId id) {
+        Session session = sessions.get(id);
+        if (session == null) {
+            return null;
+        }
+        SteadyTime now = context.now();
+        int tasks = 0;
+        boolean movable = true;
+        Set<String> inUse = new TreeSet<>();
+        for (Placement placement : placements.on(id)) {
+            tasks++;
+            inUse.add(placement.job().image());
+            movable &= placement.job().shape() == Shape.SERVICE && placement.state() == Placement.State.ACTIVE
+                    && placement.isRunning() && now.since(placement.runningSince()).isMoreThan(MOVABLE_AFTER);
+        }
+        Span silent = now.since(session.heard());
+        return new PeerReport.MachineState(id, session.capacity().minus(used(session)), displaceable(id),
+                silent.isMoreThan(quiet(context.workers())) ? Span.ofSeconds(Math.floor(silent.seconds())) : Span.ZERO,
+                holder.isOpen(session), session.state() == Session.State.FENCED, session.hasNotice(), session.isSick(), movable,
+                tasks, scheduler.machine(id).waiting().size(), session.images(), List.copyOf(inUse));
+    }
+
+    /** A machine that has reported this lately is not called silent. */
+    private static Span quiet(Settings.Workers workers) {
+        return workers.report().times(1.25).plus(Span.ofSeconds(2));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/quincecross/block/RoomMaker.java
@@ -0,0 +1,164 @@
+package org.quincecross.block;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.quincecross.model.Job;
+import org.quincecross.model.MachineId;
+import org.quincecross.model.Rank;
+import org.quincecross.model.Resources;
+import org.quincecross.model.Shape;
+import org.quincecross.model.Span;
+import org.quincecross.model.SteadyTime;
+import org.quincecross.model.TaskId;
+import org.quincecross.sched.BlockScheduler;
+import org.quincecross.sched.Entry;
+import org.quincecross.sched.Preemption;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Stops what runs: for work of higher priority, and on machines that go, or fail what they are given. */
+final class RoomMaker {
+    private static final Logger LOG = LoggerFactory.getLogger(RoomMaker.class);
+    private static final Span ROOM_PATIENCE = Span.ofMillis(20);
+
+    private final BlockHolder holder;
+    private final Placements placements;
+    private final Map<TaskId, Entry> entries;
+    private final Map<MachineId, Session> sessions;
+    private final BlockScheduler scheduler;
+
+    RoomMaker(BlockHolder holder, Placements placements, Map<TaskId, Entry> entries, Map<MachineId, Session> sessions,
+            BlockScheduler scheduler) {
+        this.holder = holder;
+        this.placements = placements;
+        this.entries = entries;
+        this.sessions = sessions;
+        this.scheduler = scheduler;
+    }
+
+    /** Stops a task and, of a gang, all others with it: progress is saved only if all are told in time. */
+    private void stopAll(Placement placement, boolean back, SteadyTime now) {
+        Job job = placement.job();
+        if (job.shape() != Shape.GANG) {
+            placement.stop(graceOf(job), back, now);
+            return;
+        }
+        for (int i = 0; i < job.tasks(); i++) {
+            Placement member = placements.get(job.id().task(i));
+            if (member != null && member.isBound()) {
+                member.stop(graceOf(job), back, now);
+            }
+        }
+    }
+
+    /** Stops work of lower priority for work that has waited a moment and fits nowhere. */
+    void makeRoom(SteadyTime now) {
+        if (entries.isEmpty()) {
+            return;
+        }
+        Preemption preemption = null;
+        for (Entry entry : Set.copyOf(entries.values()).stream().sorted(Entry.ORDER).toList()) {
+            Placement first = placements.get(entry.tasks().get(0));
+            if (entry.tasks().size() > 1) {
+                continue;
+            }
+            SteadyTime patient = first.since().plus(patience(first.job()));
+            if (now.isBefore(patient)) {
+                holder.wakeBy(patient);
+                continue;
+            }
+            preemption = preemption == null ? new Preemption(scheduler, stoppable(), stopping()) : preemption;
+            for (Preemption.Running victim : preemption.makeRoom(entry)) {
+                LOG.info("block {}: {} makes room for {}", holder.id(), victim.task(), first.task());
+                stopAll(placements.get(victim.task()), true, now);
+            }
+        }
+    }
+
+    /** What the tasks take that are being stopped, on each machine. */
+    private Map<MachineId, Resources> stopping() {
+        Map<MachineId, Resources> stopping = new HashMap<>();
+        for (Placement placement : placements.in(Placement.State.STOPPING)) {
+            stopping.merge(placement.machine(), placement.job().each(), Resources::plus);
+        }
+        return stopping;
+    }
+
+    private List<Preemption.Running> stoppable() {
+        List<Preemption.Running> running = new ArrayList<>();
+        for (Placement.State state : List.of(Placement.State.STARTING, Placement.State.ACTIVE)) {
+            for (Placement placement : placements.in(state)) {
+                if (placement.job().shape() != Shape.GANG) {
+                    running.add(new Preemption.Running(placement.task(), placement.machine(), placement.job().rank(),
+                            placement.job().each(), placement.job().saves(), placement.since()));
+                }
+            }
+        }
+        return running;
+    }
+
+    /** How long work waits before other work is stopped for it: what is queued ahead of its time may well start soon. */
+    private static Span patience(Job job) {
+        return job.rank() == Rank.PRODUCTION ? ROOM_PATIENCE
+                : Span.ofSeconds(Math.max(5, 0.25 * job.estimate().seconds()));
+    }
+
+    /** A machine that is about to be taken: what can save does so, and what cannot finish goes elsewhere at once. */
+    void clearNoticed(SteadyTime now) {
+        for (Session session : sessions.values()) {
+            if (!session.hasNotice()) {
+                continue;
+            }
+            for (Placement placement : placements.on(session.machine().id())) {
+                if (!placement.isBound() || placement.state() == Placement.State.STOPPING) {
+                    continue;
+                }
+                double left = placement.job().estimate().seconds()
+                        - (placement.isRunning() ? now.since(placement.runningSince()).seconds() : 0);
+                if (left < 0 || left > 0.6 * session.report().notice().seconds() || placement.job().shape() == Shape.SERVICE) {
+                    stopAll(placement, true, now);
+                }
+            }
+        }
+    }
+
+    /**
+     * A machine that is to go back to the cloud, or fails what it is given: its work goes elsewhere. What has room and
+     * its image on another machine of the block starts there at once, the rest goes back to the pool.
+     */
+    void clearLeaving(SteadyTime now) {
+        Map<MachineId, Resources> room = new LinkedHashMap<>();
+        List<Placement> toMove = new ArrayList<>();
+        for (Session session : sessions.values()) {
+            if (session.isSick() || holder.lease().leaving().contains(session.machine().id())) {
+                toMove.addAll(placements.on(session.machine().id()));
+            }
+        }
+        for (Placement placement : toMove) {
+            if (!placement.isBound() || placement.state() == Placement.State.STOPPING) {
+                continue;
+            }
+            if (room.isEmpty()) {
+                sessions.values().stream().filter(holder::isOpen).forEach(session ->
+                        room.put(session.machine().id(), session.capacity().minus(holder.used(session))));
+            }
+            boolean back = true;
+            for (Map.Entry<MachineId, Resources> other : room.entrySet()) {
+                if (back && placement.job().each().fitsIn(other.getValue())
+                        && sessions.get(other.getKey()).hasImage(placement.job().image())) {
+                    other.setValue(other.getValue().minus(placement.job().each()));
+                    back = false;
+                }
+            }
+            stopAll(placement, back, now);
+        }
+    }
+
+    private static Span graceOf(Job job) {
+        return job.saves() ? job.saveTime().plus(Span.ofSeconds(1)) : Span.ZERO;
+    }
+}
--- a/src/main/java/org/quincecross/block/Session.java
+++ b/src/main/java/org/quincecross/block/Session.java
@@ -81,6 +81,13 @@
         return report;
     }
 
+    /** The attempts that the last report names, in whatever state. */
+    Set<Attempt> reportedAttempts() {
+        Set<Attempt> reported = new HashSet<>();
+        report.pieces().forEach(piece -> reported.add(piece.attempt()));
+        return reported;
+    }
+
     /**
      * Takes a report that is newer than those before; {@code beat}: one that the worker sent by itself. It has one such
      * report under way at a time, so the answer to the one before has been executed or will be dropped.
