--- a/src/main/java/org/quincecross/admin/AdminApi.java
+++ b/src/main/java/org/quincecross/admin/AdminApi.java
@@ -17,6 +17,7 @@
 import org.quincecross.state.Keys;
 import org.quincecross.state.Ledger;
 import org.quincecross.state.Membership;
+import org.quincecross.state.OperatorSettings;
 import org.quincecross.state.StateClient;
 import org.quincecross.wire.BadMessage;
 import org.quincecross.wire.Fields;
--- a/src/main/java/org/quincecross/admin/OperatorSettings.java
+++ b/src/main/java/org/quincecross/state/OperatorSettings.java
@@ -1,4 +1,4 @@
-package org.quincecross.admin;
+package org.quincecross.state;
 
 import java.util.Map;
 import org.quincecross.wire.BadMessage;
--- a/src/test/java/org/quincecross/leader/FleetTest.java
+++ b/src/test/java/org/quincecross/leader/FleetTest.java
@@ -11,7 +11,7 @@
 import java.util.PriorityQueue;
 import java.util.Set;
 import net.jqwik.api.Example;
-import org.quincecross.admin.OperatorSettings;
+import org.quincecross.state.OperatorSettings;
 import org.quincecross.http.HttpRequest;
 import org.quincecross.http.HttpResponse;
 import org.quincecross.model.BlockId;
--- a/src/test/java/org/quincecross/admin/OperatorSettingsTest.java
+++ b/src/test/java/org/quincecross/state/OperatorSettingsTest.java
@@ -1,4 +1,4 @@
-package org.quincecross.admin;
+package org.quincecross.state;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
