--- a/src/main/java/org/quincecross/model/Resources.java
+++ b/src/main/java/org/quincecross/model/Resources.java
@@ -17,6 +17,16 @@
         return new Resources(cpus * factor, gpus * factor, memoryGb * factor);
     }
 
+    /** Of each resource the lesser amount. */
+    public Resources least(Resources other) {
+        return new Resources(Math.min(cpus, other.cpus), Math.min(gpus, other.gpus), Math.min(memoryGb, other.memoryGb));
+    }
+
+    /** Of each resource the greater amount. */
+    public Resources most(Resources other) {
+        return new Resources(Math.max(cpus, other.cpus), Math.max(gpus, other.gpus), Math.max(memoryGb, other.memoryGb));
+    }
+
     /** Whether this much fits into {@code room}, but for rounding. */
     public boolean fitsIn(Resources room) {
         return cpus <= room.cpus + SLACK && gpus <= room.gpus + SLACK && memoryGb <= room.memoryGb + SLACK;
