--- a/src/test/java/org/quincecross/block/GiveBackTest.java
+++ b/src/test/java/org/quincecross/block/GiveBackTest.java
@@ -22,7 +22,7 @@
 /** Work that a block cannot run goes back to the pool, where others may have it (incident unanswered-start). */
 class GiveBackTest extends HolderHarness {
     private void nextSecond() {
-        now += 1_000_000_000L;
+        clock.advance(1);
         holder.tick();
     }
 
@@ -69,13 +69,13 @@
         Attempt attempt = attempt();
         calls.remove(0).accept(HttpOutcome.failed(false));
         beat(List.of(piece(attempt, TaskState.RUNNING, null)));
-        lastConfirmed = now + 2_000_000_000L;
+        lastConfirmed = clock.nanos() + 2_000_000_000L;
         for (int second = 0; second < 40; second++) {
             nextSecond();
         }
         assertEquals(List.of(), holder.released());
         assertEquals(1, holder.machine(MACHINE.id()).tasks());
-        lastConfirmed = now;
+        lastConfirmed = clock.nanos();
         nextSecond();
         assertEquals(0, holder.machine(MACHINE.id()).tasks());
     }
--- a/src/test/java/org/quincecross/block/HolderHarness.java
+++ b/src/test/java/org/quincecross/block/HolderHarness.java
@@ -29,6 +29,7 @@
 import org.quincecross.model.TaskSet;
 import org.quincecross.net.HttpCaller;
 import org.quincecross.net.HttpOutcome;
+import org.quincecross.net.StillClock;
 import org.quincecross.net.Timers;
 import org.quincecross.sched.Reserve;
 import org.quincecross.state.Allocation;
@@ -55,28 +56,16 @@
     final Ledger ledger = new Ledger();
     final List<Consumer<HttpOutcome>> calls = new ArrayList<>();
     final List<String> sent = new ArrayList<>();
-    long now;
+    final StillClock clock = new StillClock();
     long revision;
     long lastConfirmed = Long.MAX_VALUE;
     long order;
     BlockHolder holder;
 
     final class Context implements HolderContext {
-        final Timers timers = new Timers() {
-            @Override
-            public SteadyTime now() {
-                return new SteadyTime(now);
-            }
-
-            @Override
-            public void after(Span delay, Runnable action) {
-                throw new UnsupportedOperationException();
-            }
-        };
-
         @Override
         public Timers timers() {
-            return timers;
+            return clock;
         }
 
         @Override
@@ -120,7 +109,7 @@
 
         @Override
         public SteadyTime confirmed() {
-            return new SteadyTime(Math.min(now, lastConfirmed));
+            return new SteadyTime(Math.min(clock.nanos(), lastConfirmed));
         }
 
         @Override
@@ -166,7 +155,7 @@
     }
 
     void beat(List<Piece> pieces) {
-        now += 1_000_000_000L;
+        clock.advance(1);
         holder.answer(new WorkerReport(MACHINE, 1, ++order, holder.lease().token(), null, pieces));
         holder.tick();
     }
@@ -187,7 +176,7 @@
     }
 
     String answer(List<Piece> pieces) {
-        now += 1_000_000_000L;
+        clock.advance(1);
         return new String(holder.answer(new WorkerReport(MACHINE, 1, ++order, holder.lease().token(), null, pieces)),
                 StandardCharsets.UTF_8);
     }
--- a/src/test/java/org/quincecross/leader/ResultsTest.java
+++ b/src/test/java/org/quincecross/leader/ResultsTest.java
@@ -18,11 +18,10 @@
 import org.quincecross.model.Revision;
 import org.quincecross.model.Shape;
 import org.quincecross.model.Span;
-import org.quincecross.model.SteadyTime;
 import org.quincecross.model.TaskId;
 import org.quincecross.model.TaskSet;
 import org.quincecross.model.Token;
-import org.quincecross.net.Timers;
+import org.quincecross.net.StillClock;
 import org.quincecross.peer.PeerReport;
 import org.quincecross.peer.PeerViews;
 import org.quincecross.state.DoneTasks;
@@ -38,21 +37,9 @@
     private final Ledger ledger = new Ledger();
     private final Books books = new Books(ledger);
     private final PeerViews views = new PeerViews();
-    private long now;
+    private final StillClock timers = new StillClock();
     private long revision;
 
-    private final Timers timers = new Timers() {
-        @Override
-        public SteadyTime now() {
-            return new SteadyTime(now);
-        }
-
-        @Override
-        public void after(Span delay, Runnable action) {
-            throw new UnsupportedOperationException();
-        }
-    };
-
     private void put(String key, Object value) {
         LedgerTool.put(ledger, key, castMap(value), ++revision);
         LedgerTool.advance(ledger, revision);
@@ -97,7 +84,7 @@
                 put(change.key(), change.value());
                 written++;
             }
-            now += 2_000_000_000L;
+            timers.advance(2);
         }
         assertTrue(completed.stream().allMatch(task -> ledger.isDone(id, task.index())), results.completions().toString());
         assertEquals(chunks, written);
--- a/src/test/java/org/quincecross/world/WholeServiceTest.java
+++ b/src/test/java/org/quincecross/world/WholeServiceTest.java
@@ -5,10 +5,14 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.quincecross.model.JobId;
+import org.quincecross.wire.BadMessage;
+import org.quincecross.wire.Fields;
 
 /** Days of a whole deployment with troubles drawn from fixed seeds: every rule is kept, and all work gets done. */
 class WholeServiceTest {
@@ -59,6 +63,33 @@
         assertEquals("done", world.users().told().get(new JobId("job-1")));
     }
 
+    /** A gang that its team's limit has no room for beside a service: named, once nothing explains its wait, with the reason. */
+    @Test
+    void whatMakesNoProgressIsNamedWithWhatItWaitsFor() throws BadMessage {
+        World world = new World(3);
+        world.time().at(5, () -> world.users().submitService(2));
+        world.time().at(8, () -> world.users().submitLargeGang(1, 8));
+        world.time().runUntil(120);
+        assertEquals(Set.of(), stalled(world));
+        world.time().runUntil(160);
+        assertEquals(Set.of("job-1 [8 tasks in the pool: team red uses Resources[cpus=1.0, gpus=0.0, memoryGb=2.0] of its limit "
+                + "Resources[cpus=40.0, gpus=Infinity, memoryGb=1.0E9]]"), stalled(world));
+        world.time().at(161, () -> world.users().cancel(new JobId("job-2")));
+        world.time().runUntil(400);
+        assertEquals("done", world.users().told().get(new JobId("job-1")));
+        assertEquals(Set.of(), stalled(world));
+    }
+
+    private static Set<String> stalled(World world) throws BadMessage {
+        Set<String> stalled = new TreeSet<>();
+        for (int node = 0; node < World.NODES; node++) {
+            for (Fields stall : world.status(node).objects("stalled")) {
+                stalled.add(stall.text("job") + " " + stall.texts("waits_for"));
+            }
+        }
+        return stalled;
+    }
+
     /**
      * A job is cancelled, and before its tasks can leave the allocation everything goes down for longer than a
      * cancellation has: the controllers that come back rebuild their queues from an allocation that still has it.
