Nested quotas: why a node's tasks wait, level by level, with what would have to end

Change: QuotaBooks tells the levels from a node to the root, and its room is the least of them; Explanation puts those without room into words. Result: a written case of two levels, checked in a test.

--- a/src/main/java/org/quincecross/quota/QuotaBooks.java
+++ b/src/main/java/org/quincecross/quota/QuotaBooks.java
@@ -1,5 +1,7 @@
 package org.quincecross.quota;
 
+import java.util.ArrayList;
+import java.util.List;
 import org.quincecross.model.Resources;
 
 /**
@@ -69,24 +71,41 @@
     }
 
     /**
-     * How much more a node may take: at each level, its limit and what it may borrow, less what is used there and what
-     * others there keep.
+     * One node on the way up from where tasks run, as it bears on them.
+     *
+     * @param bound its limit, or its guarantee and what it may borrow, whichever is less
+     * @param kept what others below it keep of their guarantees: beside the tasks' node, and beside each node on the way
      */
-    public Resources room(QuotaTree.Node node) {
-        Resources room = NodeSpec.UNLIMITED;
-        // What others keep that this node must leave them: beside it, and beside each node on the way up.
+    public record Level(QuotaTree.Node node, Resources bound, Resources used, Resources kept) {
+        /** How much more it has room for. */
+        public Resources room() {
+            return bound.minus(used).minus(kept).most(Resources.NONE);
+        }
+    }
+
+    /** From a node to the root, what each has room for. */
+    public List<Level> levels(QuotaTree.Node node) {
+        List<Level> levels = new ArrayList<>();
         Resources others = kept[node.index()];
         QuotaTree.Node below = null;
         for (QuotaTree.Node each = node; each != null; each = each.parent()) {
             steps++;
-            int index = each.index();
             if (below != null) {
-                others = others.plus(kept[index]).minus(keptBy(below));
+                others = others.plus(kept[each.index()]).minus(keptBy(below));
             }
             Resources bound = each.limit().least(each.guarantee().plus(each.spec().borrow()));
-            room = room.least(bound.minus(used[index]).minus(others).most(Resources.NONE));
+            levels.add(new Level(each, bound, used[each.index()], others));
             below = each;
         }
+        return levels;
+    }
+
+    /** How much more a node may take: the least that any level has room for. */
+    public Resources room(QuotaTree.Node node) {
+        Resources room = NodeSpec.UNLIMITED;
+        for (Level level : levels(node)) {
+            room = room.least(level.room());
+        }
         return room;
     }
 }
--- a/src/test/java/org/quincecross/quota/QuotaTest.java
+++ b/src/test/java/org/quincecross/quota/QuotaTest.java
@@ -104,6 +104,26 @@
         }
     }
 
+    @Example
+    void whyTasksWaitIsSaidLevelByLevelWithWhatWouldHaveToEnd() throws BadTree {
+        NodeSpec tree = node("a", Kind.ORGANISATION, 20, 30, 1, node("red", Kind.TEAM, 10, 40, 0),
+                new NodeSpec("blue", Kind.TEAM, null, cpus(6), cpus(24), 1, 1, cpus(4), List.of()));
+        QuotaBooks books = new QuotaBooks(QuotaTree.of(List.of(tree), TEAMS));
+        QuotaTree.Node blue = books.tree().of("blue", "c");
+        assertEquals(List.of(), Explanation.of(books, blue, cpus(2), 5));
+        assertEquals(List.of("team a/blue uses nothing of 10 CPUs, 40 GB, its guarantee and what it may borrow: 2 CPUs, 8 GB there "
+                + "would have to end"), Explanation.of(books, blue, cpus(2), 6));
+        books.add(books.tree().of("red", "c"), cpus(6));
+        books.add(blue, cpus(9));
+        books.add(books.tree().root().children().get(0), cpus(10));
+        assertEquals(List.of(
+                "team a/blue uses 9 CPUs, 36 GB of 10 CPUs, 40 GB, its guarantee and what it may borrow: 1 CPUs, 4 GB there would "
+                        + "have to end",
+                "organisation a uses 25 CPUs, 100 GB of its limit 30 CPUs, 120 GB, and others keep 4 CPUs, 16 GB: 1 CPUs, 4 GB "
+                        + "there would have to end"), Explanation.of(books, blue, cpus(2), 1));
+        assertEquals(List.of(), Explanation.of(books, books.tree().of("red", "c"), cpus(2), 2));
+    }
+
     private static NodeSpec randomNode(Random random, String name, Kind kind, double most, int depth, List<String> teams) {
         double guarantee = most * random.nextDouble();
         List<NodeSpec> children = new ArrayList<>();
