--- /dev/null
+++ b/src/test/java/org/quincecross/leader/LeasesTest.java
@@ -0,0 +1,97 @@
+package org.quincecross.leader;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.quincecross.model.BlockId;
+import org.quincecross.model.Endpoint;
+import org.quincecross.model.Incarnation;
+import org.quincecross.model.Machine;
+import org.quincecross.model.MachineId;
+import org.quincecross.model.MemberId;
+import org.quincecross.model.Resources;
+import org.quincecross.model.Revision;
+import org.quincecross.model.Span;
+import org.quincecross.model.Token;
+import org.quincecross.net.StillClock;
+import org.quincecross.peer.PeerReport;
+import org.quincecross.peer.PeerViews;
+import org.quincecross.state.BlockLease;
+import org.quincecross.state.Foresight;
+import org.quincecross.state.Keys;
+import org.quincecross.state.Ledger;
+import org.quincecross.state.LedgerTool;
+import org.quincecross.state.MemberRecord;
+import org.quincecross.state.OperatorSettings;
+import org.quincecross.wire.Json;
+import org.quincecross.wire.Settings;
+import org.quincecross.wire.StateCodec.Change;
+
+/** A start that was never answered and never showed is refused only under a higher token (incident unanswered-start). */
+class LeasesTest {
+    private static final MemberId HOLDER = new MemberId("n");
+    private static final BlockId BLOCK = new BlockId("b");
+    private static final Endpoint HERE = new Endpoint("10.0.0.1", 1);
+
+    private final StillClock clock = new StillClock();
+    private final Ledger ledger = new Ledger();
+    private final PeerViews views = new PeerViews();
+    private final Leases leases;
+    private long reports;
+
+    LeasesTest() {
+        Settings settings = new Settings(HOLDER, "a", HERE, HERE, List.of(), HERE, HERE, List.of("a"), Map.of(), List.of(),
+                new Settings.Workers(Span.ofSeconds(1), Span.ofSeconds(10), Span.ofSeconds(30), Span.ofSeconds(5),
+                        Span.ofSeconds(40)), new Settings.StateLimits(100, 50, 4096, 8),
+                new Settings.CloudLimits(10, Span.ofSeconds(2)), Span.ofSeconds(1), new Settings.Quota(1, 100, 1000));
+        Foresight foresight = new Foresight(ledger);
+        Fleet fleet = new Fleet(clock, (to, request, timeout, done) -> { }, ledger, settings, foresight, () -> new Incarnation(1),
+                () -> OperatorSettings.DEFAULTS);
+        leases = new Leases(clock, ledger, settings, fleet, foresight, new Books(ledger), new FreshViews(clock, ledger, views));
+        LedgerTool.put(ledger, Keys.member(HOLDER), Json.object("member", "n", "life", 1, "zone", "a"), 1);
+        MemberRecord member = new MemberRecord(HOLDER, new Incarnation(1), "a", new Revision(1));
+        Machine first = new Machine(new MachineId("m-0"), HERE, "t", "a", false);
+        Machine second = new Machine(new MachineId("m-1"), HERE, "t", "a", false);
+        LedgerTool.put(ledger, Keys.block(BLOCK), BlockLease.first(BLOCK, member, first).with(second).write(), 2);
+        LedgerTool.advance(ledger, 2);
+    }
+
+    private List<Change> planned(boolean inDoubt, boolean secondIsFenced) {
+        List<PeerReport.MachineState> machines = List.of(machine("m-0", true), machine("m-1", secondIsFenced));
+        PeerReport.Block block = new PeerReport.Block(BLOCK, new Token(2), Revision.NONE, inDoubt, Set.of(), true, List.of(),
+                List.of(), Map.of(), machines);
+        views.take(new PeerReport(HOLDER, new Incarnation(1), ++reports, 0, Map.of(), Revision.NONE, Span.ZERO, List.of(block),
+                List.of()), clock.now());
+        TxnPlan plan = new TxnPlan(ledger, 8, 4000);
+        leases.plan(plan);
+        return plan.changes();
+    }
+
+    private static PeerReport.MachineState machine(String id, boolean fenced) {
+        return new PeerReport.MachineState(new MachineId(id), Resources.NONE, Resources.NONE, Span.ZERO, true, fenced, false, false,
+                false, 1, 0, List.of(), List.of());
+    }
+
+    @Test
+    void aBlockInDoubtIsLeasedAnewToItsHolderOnceAllOfItsMachinesObeyThat() {
+        assertEquals(List.of(), planned(false, true));
+        assertEquals(List.of(), planned(true, false), "a machine that is not fenced would keep the block unsettled");
+        List<Change> changes = planned(true, true);
+        assertEquals(1, changes.size());
+        LedgerTool.put(ledger, Keys.block(BLOCK), cast(changes.get(0).value()), 7);
+        LedgerTool.advance(ledger, 7);
+        BlockLease lease = ledger.blocks().get(BLOCK);
+        assertEquals(HOLDER, lease.holder());
+        assertTrue(lease.token().isAfter(new Token(2)), lease.toString());
+        assertEquals(List.of(), leases.plan(new TxnPlan(ledger, 8, 4000)).stream().toList(), "the doubt was of the former token");
+    }
+
+    @SuppressWarnings("unchecked")
+    private static Map<String, Object> cast(Object value) {
+        return (Map<String, Object>) value;
+    }
+}
