--- a/src/test/java/org/quincecross/sched/AdmissionTest.java
+++ b/src/test/java/org/quincecross/sched/AdmissionTest.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
 import net.jqwik.api.Combinators;
@@ -89,4 +90,42 @@
             assertTrue(job.shape() != Shape.GANG || out.get(id).size() == job.tasks(), "a gang goes whole");
         });
     }
+
+    /**
+     * A block that declines a job, having failed at it, is not given it; others are; and a job that three blocks decline is
+     * no reason to rent, while one that fewer do may have met bad machines.
+     */
+    @Property(tries = 200, seed = "12")
+    void whatABlockDeclinesGoesElsewhere(@ForAll("jobs") Job drawn, @ForAll @Size(4) List<Boolean> declines) {
+        Job job = new Job(drawn.id(), "c", "t", drawn.shape(), drawn.rank(), 1, drawn.each(), null, null, false, false, true, "i", 1,
+                Span.ZERO, Span.ZERO, Span.ZERO, null);
+        List<Admission.Block> blocks = blocks(job, declines);
+        List<Admission.Unmet> unmet = admit(job, blocks);
+        int admitted = 0;
+        for (int i = 0; i < blocks.size(); i++) {
+            int here = blocks.get(i).admitted().size();
+            assertTrue(here == 0 || !declines.get(i), "given to a block that declines it");
+            admitted += here;
+        }
+        assertEquals(declines.contains(false) ? 1 : 0, admitted);
+        assertEquals(List.of(), unmet, "with four that decline it, the job is at fault");
+        boolean nobody = declines.get(2) && declines.get(3);
+        assertEquals(nobody ? 1 : 0, admit(job, blocks(job, declines.subList(2, 4))).size(), "with two, other machines may do better");
+    }
+
+    private static List<Admission.Block> blocks(Job job, List<Boolean> declines) {
+        List<Admission.Block> blocks = new ArrayList<>();
+        for (int i = 0; i < declines.size(); i++) {
+            Admission.Block block = new Admission.Block(new BlockId("b" + i), "m", "a", false, new Resources(8, 0, 32),
+                    List.of(new Resources(8, 0, 32)), List.of(new Resources(8, 0, 32)), Map.of(), 4000);
+            block.decline(declines.get(i) ? Set.of(job.id()) : Set.of(new JobId("job-100000")));
+            blocks.add(block);
+        }
+        return blocks;
+    }
+
+    private static List<Admission.Unmet> admit(Job job, List<Admission.Block> blocks) {
+        return new Admission(blocks, Map.of("t", TEAM), Map.of(), Map.of()).run(List.of(
+                new Admission.Demand(job, new Revision(1), 100, false, false, TaskSet.below(1), Map.of())));
+    }
 }
