From reading the change again: one look at a block's view, fewer conditions that cannot fail

The leader looked up each changed block's view twice to learn what it declines; the books of quotas asked for a parent that every node but the root has, and for a case that arithmetic covers; Blame sorted what the codec sorts anyway; Liveness gave comparators to ids that compare by themselves.

--- a/src/main/java/org/quincecross/block/Blame.java
+++ b/src/main/java/org/quincecross/block/Blame.java
@@ -1,11 +1,9 @@
 package org.quincecross.block;
 
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
-import java.util.TreeSet;
 import org.quincecross.model.JobId;
 import org.quincecross.model.MachineId;
 import org.quincecross.model.Span;
@@ -45,7 +43,7 @@
 
     /** The jobs that are kept away. */
     Set<JobId> declined(SteadyTime now) {
-        Set<JobId> jobs = new TreeSet<>(Comparator.comparing(JobId::text));
+        Set<JobId> jobs = new HashSet<>();
         declined.forEach((job, until) -> {
             if (now.isBefore(until.until())) {
                 jobs.add(job);
--- a/src/main/java/org/quincecross/block/Waits.java
+++ b/src/main/java/org/quincecross/block/Waits.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import org.quincecross.model.JobId;
+import org.quincecross.model.MachineId;
 
 /** Says in words what the tasks of a job wait for in a block. */
 final class Waits {
@@ -12,7 +13,7 @@
     }
 
     /** One line for each thing that tasks of the job wait for; none where all that is here runs. */
-    static List<String> of(JobId job, BlockHolder holder, Placements placements, Map<?, Session> sessions) {
+    static List<String> of(JobId job, BlockHolder holder, Placements placements, Map<MachineId, Session> sessions) {
         Map<String, Integer> counts = new TreeMap<>();
         for (Placement placement : placements.ofJob(job)) {
             String what = what(placement, placement.machine() == null ? null : sessions.get(placement.machine()));
--- a/src/main/java/org/quincecross/leader/Leader.java
+++ b/src/main/java/org/quincecross/leader/Leader.java
@@ -408,8 +408,6 @@
                 continue;
             }
             Admission.Block block = admissionBlock(lease);
-            PeerViews.BlockView view = fresh.of(lease);
-            block.decline(view == null ? Set.of() : view.declined());
             books.held(id).forEach((job, tasks) -> {
                 TaskSet done = completed.get(job);
                 block.count(books.account(job).job(), tasks.size(), tasks.size() - (done == null ? 0 : tasks.common(done)));
@@ -459,8 +457,10 @@
             }
         }
         Resources capacity = type == null ? Resources.NONE : type.capacity().times(free.size());
-        return new Admission.Block(lease.id(), lease.type(), lease.zone(), lease.spot(), capacity, free, soon, images,
-                settings.stateLimits().valueBytes() - VALUE_MARGIN);
+        Admission.Block block = new Admission.Block(lease.id(), lease.type(), lease.zone(), lease.spot(), capacity, free, soon,
+                images, settings.stateLimits().valueBytes() - VALUE_MARGIN);
+        block.decline(view == null ? Set.of() : view.declined());
+        return block;
     }
 
     private List<Admission.Demand> demands() {
--- a/src/main/java/org/quincecross/quota/QuotaBooks.java
+++ b/src/main/java/org/quincecross/quota/QuotaBooks.java
@@ -26,10 +26,8 @@
         // From the leaves up: what a node keeps is at least what those below it keep.
         for (int i = tree.nodes().size() - 1; i > 0; i--) {
             QuotaTree.Node node = tree.nodes().get(i);
-            if (node.parent() != null) {
-                int parent = node.parent().index();
-                kept[parent] = kept[parent].plus(keptBy(node));
-            }
+            int parent = node.parent().index();
+            kept[parent] = kept[parent].plus(keptBy(node));
         }
     }
 
@@ -65,9 +63,8 @@
         if (node.parent() == null) {
             return Resources.NONE;
         }
-        double part = 1 - node.spec().lend();
-        Resources own = part == 0 ? Resources.NONE : node.guarantee().times(part).minus(used[node.index()]).most(Resources.NONE);
-        return own.most(kept[node.index()]);
+        Resources own = node.guarantee().times(1 - node.spec().lend()).minus(used[node.index()]);
+        return own.most(kept[node.index()]).most(Resources.NONE);
     }
 
     /**
--- a/src/test/java/org/quincecross/world/Liveness.java
+++ b/src/test/java/org/quincecross/world/Liveness.java
@@ -38,7 +38,7 @@
     }
 
     private Set<JobId> open() {
-        Set<JobId> open = new TreeSet<>((one, other) -> one.text().compareTo(other.text()));
+        Set<JobId> open = new TreeSet<>();
         world.users().told().forEach((id, state) -> {
             if (!state.equals("done") && !state.equals("cancelled")) {
                 open.add(id);
@@ -49,7 +49,7 @@
 
     /** Lets time go on, from a quiet moment, until all must be over. */
     void watch() {
-        Map<JobId, Integer> idle = new TreeMap<>((one, other) -> one.text().compareTo(other.text()));
+        Map<JobId, Integer> idle = new TreeMap<>();
         double over = LAST_S;
         for (JobId id : open()) {
             over = Math.max(over, secondsLeft(world.job(id)));
