Every request is answered before its user stops waiting; an outage refuses at once

Cause: a submission waited for its turn, its transaction and a reading one after the other, up to 5.7 s in virtual time, of the 5 s that its user waits; a poll up to 2.4 s of 2 s. In an outage a submission was tried for 2 s before it was refused.

Changed: InTime answers with 503 and Retry-After after 3.2 s and 1.6 s, whatever becomes of what was asked; a transaction that the state service does not serve (503, or unreachable) ends the submission or cancellation at once, one that was too many (429) is still tried again.

--- a/src/main/java/org/quincecross/api/Submissions.java
+++ b/src/main/java/org/quincecross/api/Submissions.java
@@ -28,11 +28,14 @@
  *
  * <p>What ends each wait: a transaction waits for the budget, which refills, and then for its answer, for as long as
  * {@link StateClient} gives it; one without an answer, or in conflict, waits for a reading of the records, which fails after
- * a second; one that was refused is tried again until {@link #PATIENCE} is over. So every submission is answered within
- * about six seconds, most often with 503 where the state service does not answer, and its user comes back.
+ * a second; one that was refused for its number is tried again until {@link #PATIENCE} is over, and one that the state
+ * service does not serve ends at once. Whatever this comes to together, {@link InTime} answers before the user stops waiting;
+ * what has not been written by then is not written any more.
  */
 final class Submissions {
     private static final Span PATIENCE = Span.ofSeconds(2);
+    /** The longest that a user is left without an answer, who waits 5 s for it. */
+    static final Span ANSWERED = Span.ofSeconds(3.2);
     private static final Span RETRY = Span.ofMillis(120);
     private static final int MOST_BYTES = 40 * 1024;
     private static final int VALUE_MARGIN = 64;
@@ -77,7 +80,12 @@
     }
 
     private void flush() {
-        if (writing || waiting.isEmpty()) {
+        if (writing) {
+            return;
+        }
+        // Whoever asked has been answered: the repetition will be written.
+        waiting.removeIf(pending -> timers.now().since(pending.since()).isMoreThan(ANSWERED));
+        if (waiting.isEmpty()) {
             return;
         }
         if (waiting.size() == 1) {
@@ -94,6 +102,7 @@
                     switch (outcome.kind()) {
                         case COMMITTED -> pending.done().accept(Outcome.ACCEPTED);
                         case CONFLICT, UNKNOWN -> end(pending);
+                        case UNAVAILABLE -> pending.done().accept(Outcome.REFUSED);
                         case REFUSED, NO_LEASE -> again(pending);
                         default -> throw new IllegalStateException(outcome.kind().toString());
                     }
@@ -128,6 +137,7 @@
             switch (outcome.kind()) {
                 // Nothing says whether a job was known already: only a ledger that has the bundle can tell.
                 case COMMITTED, UNKNOWN -> group.forEach(this::end);
+                case UNAVAILABLE -> group.forEach(pending -> pending.done().accept(Outcome.REFUSED));
                 case CONFLICT, REFUSED, NO_LEASE -> group.forEach(this::again);
                 default -> throw new IllegalStateException(outcome.kind().toString());
             }
--- a/src/main/java/org/quincecross/api/UserApi.java
+++ b/src/main/java/org/quincecross/api/UserApi.java
@@ -23,6 +23,7 @@
 import org.quincecross.state.Keys;
 import org.quincecross.state.Ledger;
 import org.quincecross.state.StateClient;
+import org.quincecross.state.TxnOutcome;
 import org.quincecross.wire.BadMessage;
 import org.quincecross.wire.Fields;
 import org.quincecross.wire.JobCodec;
@@ -38,6 +39,8 @@
 final class UserApi {
     /** Without word from the state service for so long, what needs it is refused at once. */
     private static final Span UNCONFIRMED = Span.ofSeconds(2);
+    /** Of a poll's 2 s: what is left is for the way there and back. */
+    private static final Span POLL_ANSWERED = Span.ofSeconds(1.6);
     private static final int CANCEL_TRIES = 6;
 
     private final Timers timers;
@@ -47,6 +50,8 @@
     private final Settings settings;
     private final ToIntFunction<JobId> running;
     private final LongSupplier clockMs;
+    private final InTime polls;
+    private final InTime changes;
     private final Submissions submissions;
     private final Cancellations cancellations;
 
@@ -60,6 +65,8 @@
         this.running = running;
         this.clockMs = clockMs;
         this.cancellations = cancellations;
+        this.polls = new InTime(timers, POLL_ANSWERED, later("the state service cannot be reached"));
+        this.changes = new InTime(timers, Submissions.ANSWERED, later("not confirmed in time, ask again"));
         this.submissions = new Submissions(timers, client, follower, settings.member(), life, settings.stateLimits());
     }
 
@@ -68,7 +75,7 @@
         String rest = request.path().substring(JobCodec.JOBS.length());
         if (rest.isEmpty()) {
             if (request.method().equals("POST")) {
-                submit(request.body(), reply);
+                submit(request.body(), changes.guard(reply));
             } else {
                 reply.accept(HttpResponse.of(405));
             }
@@ -79,9 +86,9 @@
         if (rest.charAt(0) != '/' || id == null) {
             reply.accept(HttpResponse.of(404));
         } else if (cancel && request.method().equals("POST")) {
-            cancel(id, CANCEL_TRIES, reply);
+            cancel(id, CANCEL_TRIES, changes.guard(reply));
         } else if (!cancel && request.method().equals("GET")) {
-            poll(id, reply);
+            poll(id, polls.guard(reply));
         } else {
             reply.accept(HttpResponse.of(405));
         }
@@ -248,6 +255,8 @@
                 List.of(Change.put(Keys.job(id), known.cancelled(clockMs.getAsLong()))), outcome -> {
                     if (outcome.committed()) {
                         follower.barrier(current -> cancel(id, current ? tries - 1 : 0, reply));
+                    } else if (outcome.kind() == TxnOutcome.Kind.UNAVAILABLE) {
+                        reply.accept(later("the state service cannot be reached"));
                     } else {
                         follower.barrier(current -> timers.after(Span.ofMillis(60), () -> cancel(id, tries - 1, reply)));
                     }
--- a/src/main/java/org/quincecross/emulator/World.java
+++ b/src/main/java/org/quincecross/emulator/World.java
@@ -2,7 +2,9 @@
 
 import java.util.Collections;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
+import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.stream.IntStream;
 import org.quincecross.api.Controller;
@@ -28,6 +30,7 @@
     private final Surroundings around;
     private final Meter meter;
     private final List<Endpoint> nodes;
+    private final Map<String, Double> longestAnswers = new TreeMap<>();
     private final Life[] lives;
     private final Controller[] controllers;
 
@@ -108,8 +111,11 @@
             @Override
             public void request(String from, HttpRequest request, Consumer<HttpResponse> reply) {
                 Life life = lives[node];
-                meter.run(request.method() + " " + kind(request.path()), () -> controllers[node].handle(request, response -> {
+                String kind = request.method() + " " + kind(request.path());
+                double begun = time.seconds();
+                meter.run(kind, () -> controllers[node].handle(request, response -> {
                     if (life.isAlive()) {
+                        longestAnswers.merge(kind, time.seconds() - begun, Math::max);
                         reply.accept(response);
                     }
                 }));
@@ -117,6 +123,11 @@
         });
     }
 
+    /** The longest that a controller took for an answer, in seconds, by method and path; the way there and back is not in it. */
+    Map<String, Double> longestAnswers() {
+        return longestAnswers;
+    }
+
     /** A path without ids. */
     private static String kind(String path) {
         String kind = path.replaceAll("[0-9]+", "N");
--- a/src/main/java/org/quincecross/leader/Leader.java
+++ b/src/main/java/org/quincecross/leader/Leader.java
@@ -315,7 +315,7 @@
                 }
                 follower.barrier(ok -> { });
             }
-            case REFUSED, NO_LEASE -> { }
+            case REFUSED, UNAVAILABLE, NO_LEASE -> { }
             default -> throw new IllegalStateException(outcome.kind().toString());
         }
     }
--- a/src/main/java/org/quincecross/state/StateClient.java
+++ b/src/main/java/org/quincecross/state/StateClient.java
@@ -130,9 +130,10 @@
                     LOG.info("transaction refused: {}", new String(outcome.response().body(), StandardCharsets.UTF_8));
                     yield TxnOutcome.of(TxnOutcome.Kind.NO_LEASE);
                 }
-                case 429, 503 -> TxnOutcome.of(TxnOutcome.Kind.REFUSED);
+                case 429 -> TxnOutcome.of(TxnOutcome.Kind.REFUSED);
+                case 503 -> TxnOutcome.of(TxnOutcome.Kind.UNAVAILABLE);
                 default -> TxnOutcome.of(outcome.isUncertain() || outcome.status() != 0
-                        ? TxnOutcome.Kind.UNKNOWN : TxnOutcome.Kind.REFUSED);
+                        ? TxnOutcome.Kind.UNKNOWN : TxnOutcome.Kind.UNAVAILABLE);
             };
         } catch (BadMessage e) {
             return TxnOutcome.of(TxnOutcome.Kind.UNKNOWN);
--- a/src/main/java/org/quincecross/state/TxnOutcome.java
+++ b/src/main/java/org/quincecross/state/TxnOutcome.java
@@ -15,8 +15,10 @@
         COMMITTED,
         /** A condition failed. */
         CONFLICT,
-        /** Surely not executed, and may be sent again. */
+        /** Surely not executed, for there were too many, and may be sent again. */
         REFUSED,
+        /** Surely not executed, for the state service does not serve or cannot be reached: not to be sent again soon. */
+        UNAVAILABLE,
         /** The lease in it has ended. */
         NO_LEASE,
         /** Not answered: executed, or executed later, or never. */
