--- a/src/main/java/org/quincecross/block/BlockHolder.java
+++ b/src/main/java/org/quincecross/block/BlockHolder.java
@@ -90,7 +90,7 @@
         this.intake = new Intake(context, this, placements, blame);
         this.views = new MachineViews(context, this, placements, sessions, scheduler);
         this.rooms = new RoomMaker(this, placements, entries, sessions, scheduler);
-        this.givingBack = new GivingBack(context, this, placements, entries, sessions, blame);
+        this.givingBack = new GivingBack(context, this, placements, entries, sessions, blame, scheduler);
         SteadyTime now = context.now();
         for (Machine machine : lease.machines().values()) {
             addMachine(machine, now.plus(context.longestUnconfirmed()));
@@ -560,6 +560,7 @@
         }
         givingBack.giveBackGangs(now);
         givingBack.giveBackLongWaiting(now);
+        givingBack.giveBackSurplus(now);
         rooms.makeRoom(now);
         rooms.clearNoticed(now);
         rooms.clearLeaving(now);
--- a/src/main/java/org/quincecross/block/GivingBack.java
+++ b/src/main/java/org/quincecross/block/GivingBack.java
@@ -7,9 +7,11 @@
 import org.quincecross.model.Job;
 import org.quincecross.model.MachineId;
 import org.quincecross.model.Shape;
+import org.quincecross.model.Rank;
 import org.quincecross.model.Span;
 import org.quincecross.model.SteadyTime;
 import org.quincecross.model.TaskId;
+import org.quincecross.sched.BlockScheduler;
 import org.quincecross.sched.Entry;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -20,6 +22,13 @@
     private static final Span GANG_PATIENCE = Span.ofSeconds(30);
     /** Beyond twice its estimate: what runs before it should have ended by then. */
     private static final Span LONG_WAIT = Span.ofSeconds(90);
+    /** Urgent work: longer than lower work takes to save and make room for it. */
+    private static final Span URGENT_WAIT = Span.ofSeconds(6);
+    /** Of the capacity of the machines that take work, so much may be used or spoken for: what the leader gives, too. */
+    private static final double QUEUE_AHEAD = 1.15;
+    private static final Span SURPLUS_PATIENCE = Span.ofSeconds(3);
+    private static final Span SURPLUS_EVERY = Span.ofSeconds(1);
+    private static final Span CONFIRMED_LATELY = Span.ofSeconds(2);
     /** How long work waits for any machine of the block to take work again. */
     private static final Span NONE_OPEN_PATIENCE = Span.ofSeconds(10);
 
@@ -29,18 +38,47 @@
     private final Map<TaskId, Entry> entries;
     private final Map<MachineId, Session> sessions;
     private final Blame blame;
+    private final BlockScheduler scheduler;
     private SteadyTime noneOpenSince;
+    private SteadyTime surplusAt;
     /** Before this nothing here has waited for long, as long as some machine takes work. */
     private SteadyTime lookAt;
 
     GivingBack(HolderContext context, BlockHolder holder, Placements placements, Map<TaskId, Entry> entries,
-            Map<MachineId, Session> sessions, Blame blame) {
+            Map<MachineId, Session> sessions, Blame blame, BlockScheduler scheduler) {
         this.context = context;
         this.holder = holder;
         this.placements = placements;
         this.entries = entries;
         this.sessions = sessions;
         this.blame = blame;
+        this.scheduler = scheduler;
+    }
+
+    /**
+     * Gives back what a block that has lost machines cannot start soon. The leader gives a block no more than it can start
+     * soon, but what was on machines that are gone waits here all at once, and others may have room: without this a replica
+     * whose machine had vanished with half of its block waited for 90 s.
+     */
+    void giveBackSurplus(SteadyTime now) {
+        if (entries.isEmpty() || surplusAt != null && now.isBefore(surplusAt) || !leaderCanAct(now)) {
+            return;
+        }
+        surplusAt = now.plus(SURPLUS_EVERY);
+        holder.wakeBy(surplusAt);
+        for (Entry entry : scheduler.surplus(QUEUE_AHEAD)) {
+            Placement placement = placements.get(entry.tasks().get(0));
+            if (now.since(placement.since()).isMoreThan(SURPLUS_PATIENCE)) {
+                holder.dequeue(placement.task());
+                placement.release(now);
+                context.newsForLeader();
+            }
+        }
+    }
+
+    /** Cut off from the records, a block had better keep what it has: nobody else will start it either. */
+    private boolean leaderCanAct(SteadyTime now) {
+        return context.confirmed() != null && !now.since(context.confirmed()).isMoreThan(CONFIRMED_LATELY);
     }
 
     /**
@@ -81,10 +119,11 @@
             holder.wakeBy(lookAt);
             return; // what has come since waits longer than what was here
         }
-        lookAt = now.plus(LONG_WAIT);
+        lookAt = now.plus(URGENT_WAIT);
         for (Placement placement : placements.in(Placement.State.WAITING)) {
             Job job = placement.job();
-            SteadyTime patient = placement.since().plus(LONG_WAIT.plus(job.estimate().times(2)));
+            SteadyTime patient = placement.since().plus(job.rank() == Rank.PRODUCTION && leaderCanAct(now) ? URGENT_WAIT
+                    : LONG_WAIT.plus(job.estimate().times(2)));
             if (noneOpenSince != null && noneOpenSince.plus(NONE_OPEN_PATIENCE).isBefore(patient)) {
                 patient = noneOpenSince.plus(NONE_OPEN_PATIENCE);
             }
--- a/src/main/java/org/quincecross/emulator/Network.java
+++ b/src/main/java/org/quincecross/emulator/Network.java
@@ -24,6 +24,10 @@
     /** Takes the host at an address away. */
     void remove(Endpoint address);
 
+    /** A caller is gone for good. */
+    default void forget(String caller) {
+    }
+
     /** Where machine {@code number} of the site listens. */
     Endpoint machineAddress(int number);
 
--- a/src/main/java/org/quincecross/emulator/Site.java
+++ b/src/main/java/org/quincecross/emulator/Site.java
@@ -158,6 +158,29 @@
                 Span.ofSeconds(4), false, classes);
     }
 
+    /**
+     * A site to be tried on one machine in real time: small leases, quick boots.
+     *
+     * @param machines that the cloud has
+     * @param allUp whether all of them are up at the start, rather than a third
+     */
+    static Site tryOut(int machines, boolean allUp) {
+        MachineType type = new MachineType("box-8", new Resources(8, 0, 32), 20, 1, 0.5, 0.2, Span.ofSeconds(3), List.of("east", "north", "west"));
+        List<Pool> pools = new ArrayList<>();
+        for (int i = 0; i < type.zones().size(); i++) {
+            int ordinary = machines * 2 / 3 / 3 + (i < machines * 2 / 3 % 3 ? 1 : 0);
+            int spot = machines / 3 / 3 + 1;
+            pools.add(new Pool("box-8", type.zones().get(i), false, allUp ? ordinary : Math.max(1, machines / 9), ordinary));
+            pools.add(new Pool("box-8", type.zones().get(i), true, allUp ? spot : 0, spot));
+        }
+        double cpus = 8.0 * machines;
+        return new Site(type.zones(), type.zones(), List.of(type), pools, machines,
+                teams(team("web", 0.4 * cpus, 0.8 * cpus), team("batch", 0.4 * cpus, cpus)), workers(2, 12, 20, 4, 36),
+                new Settings.StateLimits(400, 120, 8192, 24), new Settings.CloudLimits(5, Span.ofSeconds(2)),
+                new Settings.Quota(1, 360, 3000), List.of(new Settings.Objective("wait", "front", Span.ofSeconds(5), 1, 0.9)),
+                Span.ofSeconds(0), false, List.of());
+    }
+
     /** What controller {@code node} is told; {@code state} is where it reaches the state service. */
     Settings settings(int node, List<Endpoint> listen, List<Endpoint> peers, Endpoint cloud, Endpoint state) {
         List<Settings.Sibling> siblings = new ArrayList<>();
--- a/src/main/java/org/quincecross/emulator/Worker.java
+++ b/src/main/java/org/quincecross/emulator/Worker.java
@@ -74,6 +74,7 @@
     private double lastBeat = -1;
     private double tokenTold = -100;
     private double hangsUntil;
+    private double answeredFrom = -1;
 
     Worker(Surroundings around, Machine machine, MachineType type, Traits traits, int firstNode) {
         this.around = around;
@@ -88,6 +89,11 @@
         watchLease();
     }
 
+    /** When the last report was sent that a controller has answered which it obeys; negative before the first. */
+    double answeredFrom() {
+        return answeredFrom;
+    }
+
     /** What its tasks are doing, for those who look on. */
     String state() {
         return tasks.values().stream().map(task -> task.state).toList() + (traits.sick() ? " sick" : "");
@@ -100,6 +106,7 @@
     void destroy() {
         life.end();
         dropAll();
+        around.network().forget(machine.id().text());
     }
 
     /** The cloud gives notice that it takes the machine back. */
@@ -164,7 +171,12 @@
             beatLater(LEAST_BETWEEN_REPORTS_S);
             held = 0;
         }
-        after(Math.max(LEASE_LOOK_S, (lease - held) / traits.clock()), this::watchLease);
+        // Also of a machine that hangs: it may go on within its lease, not after it.
+        clock.after(Math.max(LEASE_LOOK_S, (lease - held) / traits.clock()), () -> {
+            if (life.isAlive()) {
+                watchLease();
+            }
+        });
     }
 
     private void beatLater(double seconds) {
@@ -193,6 +205,7 @@
                 Fields in = Json.parseFields(outcome.response().body());
                 long answerToken = in.has("Baton") ? in.unsigned("Baton") : 0;
                 if (answerToken >= token) {
+                    answeredFrom = sentAt;
                     leaseFrom = Math.max(leaseFrom, sentAt);
                     raise(answerToken);
                     execute(in.objects("Orders"));
--- a/src/main/java/org/quincecross/net/HttpClient.java
+++ b/src/main/java/org/quincecross/net/HttpClient.java
@@ -19,6 +19,7 @@
     private static final int MOST_BODY = 16 * 1024 * 1024;
     private static final int MOST_KEPT = 4;
     private static final Span KEEP = Span.ofSeconds(20);
+    private static final Span SWEEP_EVERY = Span.ofSeconds(5);
 
     /** The states of a call. */
     private enum State { IDLE, WAITING, OVER }
@@ -31,6 +32,7 @@
      */
     private final PriorityQueue<Deadline> deadlines = new PriorityQueue<>();
     private SteadyTime armedFor;
+    private boolean closed;
 
     private record Deadline(SteadyTime at, Line line, long call) implements Comparable<Deadline> {
         boolean isOpen() {
@@ -45,7 +47,14 @@
 
     public HttpClient(Loop loop) {
         this.loop = loop;
-        loop.every(Span.ofSeconds(5), this::sweep);
+        loop.after(SWEEP_EVERY, this::sweep);
+    }
+
+    /** Lets go of the connections that are kept; calls under way end as they would. */
+    public void close() {
+        closed = true;
+        kept.values().forEach(lines -> lines.forEach(line -> line.connection.close()));
+        kept.clear();
     }
 
     @Override
@@ -67,6 +76,10 @@
     }
 
     private void sweep() {
+        if (closed) {
+            return;
+        }
+        loop.after(SWEEP_EVERY, this::sweep);
         SteadyTime now = loop.now();
         kept.values().removeIf(lines -> {
             while (!lines.isEmpty() && now.since(lines.peekFirst().idleSince).isMoreThan(KEEP)) {
@@ -136,7 +149,7 @@
         private void finish(HttpOutcome outcome, boolean keep) {
             Consumer<HttpOutcome> whenDone = done;
             done = null;
-            if (keep) {
+            if (keep && !closed) {
                 enter(State.IDLE);
                 parser.next();
                 idleSince = loop.now();
--- a/src/main/java/org/quincecross/net/HttpServer.java
+++ b/src/main/java/org/quincecross/net/HttpServer.java
@@ -25,12 +25,14 @@
     /** A client that has begun a request gets this long to finish it. */
     private static final Span REQUEST_TIME = Span.ofSeconds(10);
     private static final Span IDLE_TIME = Span.ofSeconds(90);
+    private static final Span SWEEP_EVERY = Span.ofSeconds(2);
 
     private final Loop loop;
     private final HttpHandler handler;
     private final int mostConnections;
     private final ServerSocketChannel channel;
     private final Set<Client> clients = new LinkedHashSet<>();
+    private boolean closed;
 
     public HttpServer(Loop loop, Endpoint listen, int mostConnections, HttpHandler handler) throws IOException {
         this.loop = loop;
@@ -40,7 +42,18 @@
         channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
         channel.bind(new InetSocketAddress(listen.host(), listen.port()), 512);
         loop.register(channel, SelectionKey.OP_ACCEPT, this);
-        loop.every(Span.ofSeconds(2), this::sweep);
+        loop.after(SWEEP_EVERY, this::sweep);
+    }
+
+    /** Listens no more and ends all connections. */
+    public void close() {
+        closed = true;
+        List.copyOf(clients).forEach(Client::end);
+        try {
+            channel.close();
+        } catch (IOException e) {
+            LOG.debug("closing a listening socket: {}", e.getMessage());
+        }
     }
 
     @Override
@@ -82,6 +95,10 @@
     }
 
     private void sweep() {
+        if (closed) {
+            return;
+        }
+        loop.after(SWEEP_EVERY, this::sweep);
         SteadyTime now = loop.now();
         for (Client client : List.copyOf(clients)) {
             Span quiet = now.since(client.since);
--- a/src/main/java/org/quincecross/net/Loop.java
+++ b/src/main/java/org/quincecross/net/Loop.java
@@ -36,7 +36,7 @@
     private final Selector selector;
     private final PriorityQueue<Due> timers = new PriorityQueue<>();
     private long order;
-    private boolean stopped;
+    private volatile boolean stopped;
 
     public Loop() {
         try {
--- a/src/main/java/org/quincecross/program/Main.java
+++ b/src/main/java/org/quincecross/program/Main.java
@@ -17,6 +17,10 @@
             // that no class-data archive takes it, and loading it is half of the time that a restart takes.
             System.exit(serve(Path.of(args[1])));
         }
+        if (args.length == 3 && args[0].equals("--config") && args[2].equals("--end-with-input")) {
+            endWithInput();
+            System.exit(serve(Path.of(args[1])));
+        }
         CommandLine line = new CommandLine(new QuincecrossCommand());
         int status = line.execute(args);
         if (status != 0) {
@@ -24,6 +28,22 @@
         }
     }
 
+    /** For a controller that another process has started: it ends when that process does, however that ends. */
+    private static void endWithInput() {
+        Thread watcher = new Thread(() -> {
+            try {
+                while (System.in.read() >= 0) {
+                    // nothing is said there
+                }
+            } catch (IOException e) {
+                // the same as its end
+            }
+            Runtime.getRuntime().halt(0);
+        }, "input");
+        watcher.setDaemon(true);
+        watcher.start();
+    }
+
     /** Serves until the process is killed; returns the exit status if it cannot. */
     static int serve(Path config) {
         try {
--- a/src/main/java/org/quincecross/sched/BlockScheduler.java
+++ b/src/main/java/org/quincecross/sched/BlockScheduler.java
@@ -180,6 +180,38 @@
         return queueOf.keySet();
     }
 
+    /**
+     * The waiting work that the machines which take work could not start soon, last in line first: what comes after
+     * {@code share} of their capacity is used or spoken for. Gangs and urgent work are counted apart.
+     */
+    public List<Entry> surplus(double share) {
+        Resources capacity = Resources.NONE;
+        Resources used = Resources.NONE;
+        for (MachineQueue machine : machines.values()) {
+            if (machine.isOpen()) {
+                capacity = capacity.plus(machine.capacity());
+                used = used.plus(machine.used());
+            }
+        }
+        List<Entry> waiting = new ArrayList<>();
+        for (Entry entry : queueOf.keySet()) {
+            if (!isGang(entry) && !isHeldBack(entry)) {
+                waiting.add(entry);
+            }
+        }
+        waiting.sort(Entry.ORDER);
+        Resources most = capacity.times(share);
+        List<Entry> surplus = new ArrayList<>();
+        for (Entry entry : waiting) {
+            if (used.fitsIn(most)) {
+                used = used.plus(entry.job().each().times(entry.tasks().size()));
+            } else {
+                surplus.add(0, entry);
+            }
+        }
+        return surplus;
+    }
+
     /** Decides what starts now. What is started counts as used and waits no more. */
     public List<Start> schedule(SteadyTime now) {
         List<Start> starts = new ArrayList<>();
--- /dev/null
+++ b/src/test/java/org/quincecross/emulator/LostMachinesTest.java
@@ -0,0 +1,78 @@
+package org.quincecross.emulator;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.quincecross.model.JobId;
+import org.quincecross.model.MachineId;
+import org.quincecross.wire.BadMessage;
+
+/**
+ * Half of all machines vanish without notice, on a site whose other half is full of arrays: what blocks have lost more than
+ * they can start goes back to the pool, so all replicas run again soon after the leases of the lost machines are over.
+ */
+class LostMachinesTest {
+    private static final int MACHINES = 60;
+    private static final double LEASE_S = 12;
+    private static final double MOST_AFTER_LEASE_S = 25;
+    private static final String JOBS = """
+            [[jobs]]
+            name = "front"
+            shape = "service"
+            rank = "critical"
+            team = "web"
+            copies = 20
+            tasks = 4
+            cpus = 2
+            memory_gb = 4
+            spread = true
+
+            [[jobs]]
+            name = "rebuild"
+            shape = "array"
+            rank = "standard"
+            team = "batch"
+            copies = 12
+            tasks = 60
+            cpus = 1
+            memory_gb = 2
+            run_s = 40
+            """;
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void allReplicasRunAgainSoonAfterTheLeasesAreOver(long seed) throws BadMessage {
+        Site site = Site.tryOut(MACHINES, true);
+        World world = new World(site, seed, Meter.OFF);
+        List<JobId> services = new ArrayList<>();
+        for (JobsFile.Due due : JobsFile.read(JOBS, site)) {
+            world.time().at(6 + due.atS(), () -> world.users().submit(due.job()));
+            if (due.job().jobClass().equals("front")) {
+                services.add(due.job().id());
+            }
+        }
+        world.time().runUntil(35);
+        assertEquals(80, replicas(world, services));
+        List<MachineId> machines = world.cloud().machines();
+        for (int i = 0; i < machines.size(); i += 2) {
+            world.cloud().take(machines.get(i), 0);
+        }
+        assertTrue(replicas(world, services) < 80);
+        double at = 35;
+        while (replicas(world, services) < 80 && at < 200) {
+            at += 0.5;
+            world.time().runUntil(at);
+        }
+        assertTrue(at - 35 < LEASE_S + MOST_AFTER_LEASE_S, "all replicas run again after " + (at - 35) + " s");
+        world.time().runUntil(at + 60);
+        assertEquals(List.of(), world.rules().broken());
+    }
+
+    private static int replicas(World world, List<JobId> services) {
+        return services.stream().mapToInt(world.rules()::onMachines).sum();
+    }
+}
