Arrays queue ahead only of what drains: not behind services that stay

Cause: a block was given 15% more than its capacity in array tasks, whatever used it. The 15% now count of what services do not use, at admission and in what a block gives back.

--- a/src/main/java/org/quincecross/block/GivingBack.java
+++ b/src/main/java/org/quincecross/block/GivingBack.java
@@ -8,6 +8,7 @@
 import org.quincecross.model.MachineId;
 import org.quincecross.model.Shape;
 import org.quincecross.model.Rank;
+import org.quincecross.model.Resources;
 import org.quincecross.model.Span;
 import org.quincecross.model.SteadyTime;
 import org.quincecross.model.TaskId;
@@ -24,8 +25,8 @@
     private static final Span LONG_WAIT = Span.ofSeconds(90);
     /** Urgent work: longer than lower work takes to save and make room for it. */
     private static final Span URGENT_WAIT = Span.ofSeconds(6);
-    /** Of the capacity of the machines that take work, so much may be used or spoken for: what the leader gives, too. */
-    private static final double QUEUE_AHEAD = 1.15;
+    /** Of what services do not use, so much may be spoken for beyond what there is: what the leader gives, too. */
+    private static final double QUEUE_AHEAD = 0.15;
     private static final Span SURPLUS_PATIENCE = Span.ofSeconds(3);
     private static final Span SURPLUS_EVERY = Span.ofSeconds(1);
     private static final Span CONFIRMED_LATELY = Span.ofSeconds(2);
@@ -66,7 +67,14 @@
         }
         surplusAt = now.plus(SURPLUS_EVERY);
         holder.wakeBy(surplusAt);
-        for (Entry entry : scheduler.surplus(QUEUE_AHEAD)) {
+        Resources standing = Resources.NONE;
+        for (Session session : sessions.values()) {
+            for (Placement placement : session.wasOpen() ? placements.seenOn(session.machine().id()) : List.<Placement>of()) {
+                boolean stays = placement.job().shape() == Shape.SERVICE && placement.isBound();
+                standing = stays ? standing.plus(placement.job().each()) : standing;
+            }
+        }
+        for (Entry entry : scheduler.surplus(QUEUE_AHEAD, standing)) {
             Placement placement = placements.get(entry.tasks().get(0));
             if (now.since(placement.since()).isMoreThan(SURPLUS_PATIENCE)) {
                 holder.dequeue(placement.task());
--- a/src/main/java/org/quincecross/sched/Admission.java
+++ b/src/main/java/org/quincecross/sched/Admission.java
@@ -27,8 +27,11 @@
  * stuck behind one block.
  */
 public final class Admission {
-    /** A block may be given this much of its capacity in array tasks, so that a short queue is there to start from. */
-    private static final double QUEUE_AHEAD = 1.15;
+    /**
+     * Beyond its capacity a block may be given so much of what is not used by services in array tasks, so that a short queue
+     * is there to start from. What services use does not drain: behind them a task would wait for ever.
+     */
+    private static final double QUEUE_AHEAD = 0.15;
 
     /** A job that has failed in so many blocks is no reason to rent more machines. */
     private static final int BAD_AFTER = 3;
@@ -61,6 +64,8 @@
         private final int mostBytes;
         private final Resources[] usedFrom = new Resources[Rank.values().length];
         private final Map<JobId, TaskSet> admitted = new LinkedHashMap<>();
+        /** What services use. */
+        private Resources standing = Resources.NONE;
         private Set<JobId> declined = Set.of();
         private Rank admittedRank;
         private int gangTasks;
@@ -114,6 +119,9 @@
             for (int rank = 0; rank <= job.rank().ordinal(); rank++) {
                 usedFrom[rank] = usedFrom[rank].plus(more);
             }
+            if (job.shape() == Shape.SERVICE) {
+                standing = standing.plus(more);
+            }
         }
 
         /** What was admitted to this block. */
@@ -425,7 +433,8 @@
         if (block.machines == 0 || block.bytes + block.bytesFor(job, tasks) > block.mostBytes) {
             return false;
         }
-        Resources capacity = job.shape() == Shape.ARRAY ? block.capacity.times(QUEUE_AHEAD) : block.capacity;
+        Resources capacity = job.shape() == Shape.ARRAY
+                ? block.capacity.plus(block.capacity.minus(block.standing).most(Resources.NONE).times(QUEUE_AHEAD)) : block.capacity;
         Resources kept = Resources.NONE;
         for (Reserve reserve : reserves.getOrDefault(block.id, List.of())) {
             if (reserve.keepsOut(job, block.machine)) {
--- a/src/main/java/org/quincecross/sched/BlockScheduler.java
+++ b/src/main/java/org/quincecross/sched/BlockScheduler.java
@@ -181,10 +181,13 @@
     }
 
     /**
-     * The waiting work that the machines which take work could not start soon, last in line first: what comes after
-     * {@code share} of their capacity is used or spoken for. Gangs and urgent work are counted apart.
+     * The waiting work that the machines which take work could not start soon, last in line first. What services use does
+     * not drain; of the rest {@code share} may be spoken for beyond what there is, and one task in any case where it will
+     * find room at all. Gangs and urgent work are counted apart.
+     *
+     * @param standing what services use on these machines
      */
-    public List<Entry> surplus(double share) {
+    public List<Entry> surplus(double share, Resources standing) {
         Resources capacity = Resources.NONE;
         Resources used = Resources.NONE;
         for (MachineQueue machine : machines.values()) {
@@ -200,11 +203,13 @@
             }
         }
         waiting.sort(Entry.ORDER);
-        Resources most = capacity.times(share);
+        Resources drains = capacity.minus(standing).most(Resources.NONE);
         List<Entry> surplus = new ArrayList<>();
         for (Entry entry : waiting) {
-            if (used.fitsIn(most)) {
-                used = used.plus(entry.job().each().times(entry.tasks().size()));
+            Resources each = entry.job().each();
+            Resources most = capacity.plus(each.fitsIn(drains) ? drains.times(share).most(each) : Resources.NONE);
+            if (used.plus(each).fitsIn(most)) {
+                used = used.plus(each);
             } else {
                 surplus.add(0, entry);
             }
