--- a/src/main/java/org/quincecross/emulator/StateService.java
+++ b/src/main/java/org/quincecross/emulator/StateService.java
@@ -69,6 +69,7 @@
     private long throttled;
     private boolean out;
     private int lateOneIn;
+    private int keptChanges = KEPT_CHANGES;
 
     StateService(Clock clock, Random random, Settings.StateLimits limits) {
         this.clock = clock;
@@ -87,6 +88,14 @@
         lateOneIn = oneIn;
     }
 
+    /** Watches that lie further behind than so many changes are answered with 410. */
+    void keepChanges(int most) {
+        keptChanges = most;
+        while (events.size() > keptChanges) {
+            oldest = events.poll().stamp();
+        }
+    }
+
     void outage(double seconds) {
         out = true;
         clock.after(seconds, () -> {
@@ -288,7 +297,7 @@
         }
         if (value != null || before != null) {
             events.add(new Event(key, value, epoch));
-            while (events.size() > KEPT_CHANGES) {
+            while (events.size() > keptChanges) {
                 oldest = events.poll().stamp();
             }
         }
--- a/src/main/java/org/quincecross/emulator/VirtualTime.java
+++ b/src/main/java/org/quincecross/emulator/VirtualTime.java
@@ -40,6 +40,16 @@
         now = (long) (seconds * 1e9);
     }
 
+    /** Runs something in a process: not once it is dead, and later while it stands still. */
+    void whenAwake(Life life, Runnable action) {
+        double still = life.standsStillFor(seconds());
+        if (still > 0) {
+            after(still, () -> whenAwake(life, action));
+        } else if (life.isAlive()) {
+            action.run();
+        }
+    }
+
     /** The timers of a process; its clock starts somewhere of its own and runs at {@code rate}. */
     Timers timersOf(Life life, long offset, double rate, Meter meter) {
         return new Timers() {
@@ -50,21 +60,15 @@
 
             @Override
             public void after(Span delay, Runnable action) {
-                VirtualTime.this.after(delay.seconds() / rate + STEP_S, () -> {
-                    if (life.isAlive()) {
-                        meter.run(action);
-                    }
-                });
+                VirtualTime.this.after(delay.seconds() / rate + STEP_S, () -> whenAwake(life, () -> meter.run(action)));
             }
 
             @Override
             public void every(Span period, Runnable action) {
-                VirtualTime.this.after(period.seconds() / rate + STEP_S, () -> {
-                    if (life.isAlive()) {
-                        meter.run(action);
-                        every(period, action);
-                    }
-                });
+                VirtualTime.this.after(period.seconds() / rate + STEP_S, () -> whenAwake(life, () -> {
+                    meter.run(action);
+                    every(period, action);
+                }));
             }
         };
     }
--- a/src/main/java/org/quincecross/emulator/World.java
+++ b/src/main/java/org/quincecross/emulator/World.java
@@ -113,12 +113,12 @@
                 Life life = lives[node];
                 String kind = request.method() + " " + kind(request.path());
                 double begun = time.seconds();
-                meter.run(kind, () -> controllers[node].handle(request, response -> {
+                time.whenAwake(life, () -> meter.run(kind, () -> controllers[node].handle(request, response -> {
                     if (life.isAlive()) {
                         longestAnswers.merge(kind, time.seconds() - begun, Math::max);
                         reply.accept(response);
                     }
-                }));
+                })));
             }
         });
     }
@@ -141,13 +141,12 @@
         String name = Site.nodeName(node);
         controllers[node] = new Controller(time.timersOf(life, random.nextInt(1_000_000_000), 1 + 0.0005 * random.nextDouble(), meter),
                 (to, request, timeout, done) -> net.call(life, name, to, request, timeout,
-                        outcome -> meter.run("answer " + kind(request.path()), () -> done.accept(outcome))),
-                (to, frame) -> {
-                    net.send(name, to.text(), () -> {
-                        int other = Integer.parseInt(to.text().substring(1));
-                        if (lives[other].isAlive()) {
-                            meter.run("peer report", () -> controllers[other].frame(frame));
-                        }
+                        outcome -> time.whenAwake(life, () -> meter.run("answer " + kind(request.path()), () -> done.accept(outcome)))),
+                (peer, frame) -> {
+                    net.send(name, peer.text(), () -> {
+                        int other = Integer.parseInt(peer.text().substring(1));
+                        Controller to = controllers[other];
+                        time.whenAwake(lives[other], () -> meter.run("peer report", () -> to.frame(frame)));
                     });
                     return true;
                 }, site.settings(node, nodes, nodes, CLOUD, STATE), () -> (long) (time.seconds() * 1000));
@@ -161,6 +160,26 @@
         }
     }
 
+    /** A controller stands still for a while: its clocks run on, and what comes waits. */
+    void standStill(int node, double seconds) {
+        lives[node].standStill(time.seconds() + seconds);
+    }
+
+    /** The controller that says it leads, or -1. */
+    int leader() {
+        for (int node = 0; node < nodeCount(); node++) {
+            try {
+                Fields status = status(node);
+                if (status != null && status.text("role").equals("LEADING")) {
+                    return node;
+                }
+            } catch (BadMessage e) {
+                throw new IllegalStateException(e);
+            }
+        }
+        return -1;
+    }
+
     void cut(String one, String other, double seconds, boolean lose) {
         net.cut(one, other, time.seconds() + seconds, lose);
     }
--- a/src/main/java/org/quincecross/net/HttpServer.java
+++ b/src/main/java/org/quincecross/net/HttpServer.java
@@ -71,8 +71,10 @@
             if (socket == null) {
                 return;
             }
-            if (clients.size() >= mostConnections) {
-                shedIdle();
+            if (clients.size() >= mostConnections && !shedIdle()) {
+                // Refused at once: held in the queue of the listening socket it would wait, and so would those behind it.
+                socket.close();
+                continue;
             }
             socket.setOption(StandardSocketOptions.TCP_NODELAY, true);
             clients.add(new Client(socket));
@@ -84,14 +86,15 @@
         LOG.error("trouble on the listening socket: {}", cause.getMessage());
     }
 
-    /** Ends the connection that has been idle longest, so that health checks and workers still get one. */
-    private void shedIdle() {
+    /** Ends the connection that has been idle longest, so that health checks and workers still get one; false if none is. */
+    private boolean shedIdle() {
         for (Client client : clients) {
             if (!client.busy) {
                 client.end();
-                return;
+                return true;
             }
         }
+        return false;
     }
 
     private void sweep() {
--- /dev/null
+++ b/src/main/java/org/quincecross/program/MeasureCommand.java
@@ -0,0 +1,67 @@
+package org.quincecross.program;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.text.ParseException;
+import java.util.Locale;
+import java.util.concurrent.Callable;
+import jdk.jfr.Configuration;
+import jdk.jfr.Recording;
+import org.quincecross.emulator.Measurement;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Spec;
+
+/** Measures what a fleet's day costs its controllers. */
+@Command(name = "measure", mixinStandardHelpOptions = true, sortOptions = false,
+        description = "Plays a day of a whole fleet in virtual time, all of whose controllers are restarted after 150 s, and tells what it "
+                + "costs them: processor time and bytes allocated, by what they were called for.")
+final class MeasureCommand implements Callable<Integer> {
+    @Spec
+    private CommandSpec spec;
+
+    @Option(names = "--site", paramLabel = "WHAT", defaultValue = "mixed",
+            description = "fleet: one type of machine, three zones; mixed: three types, two zones, gangs (default: ${DEFAULT-VALUE})")
+    private String site;
+
+    @Option(names = "--machines", paramLabel = "N", defaultValue = "690", description = "machines that the cloud has (default: ${DEFAULT-VALUE})")
+    private int machines;
+
+    @Option(names = "--for", paramLabel = "TIME", defaultValue = "250s", converter = TryCommand.Seconds.class,
+            description = "how long the day is, such as 250s (default: ${DEFAULT-VALUE})")
+    private double seconds;
+
+    @Option(names = "--seed", paramLabel = "N", defaultValue = "1", description = "which day (default: ${DEFAULT-VALUE})")
+    private long seed;
+
+    @Option(names = "--recording", paramLabel = "FILE", description = "writes a recording of the JDK's flight recorder here")
+    private Path recording;
+
+    @Override
+    public Integer call() throws IOException, ParseException {
+        if (machines < 30 || machines > 20_000) {
+            throw new ParameterException(spec.commandLine(), "--machines: " + machines + " is not from 30 to 20000");
+        }
+        Measurement.Kind kind = switch (site.toLowerCase(Locale.ROOT)) {
+            case "fleet" -> Measurement.Kind.FLEET;
+            case "mixed" -> Measurement.Kind.MIXED;
+            default -> throw new ParameterException(spec.commandLine(), "--site: '" + site + "' is neither fleet nor mixed");
+        };
+        System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", "error");
+        Measurement day = new Measurement(kind, machines, seed);
+        if (recording == null) {
+            day.playUntil(seconds);
+        } else {
+            try (Recording flight = new Recording(Configuration.getConfiguration("profile"))) {
+                flight.start();
+                day.playUntil(seconds);
+                flight.stop();
+                flight.dump(recording);
+            }
+        }
+        day.write(System.out);
+        return day.isSound() ? 0 : 1;
+    }
+}
--- /dev/null
+++ b/src/test/java/org/quincecross/net/HttpServerTest.java
@@ -0,0 +1,124 @@
+package org.quincecross.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.quincecross.http.HttpResponse;
+import org.quincecross.model.Endpoint;
+
+/** A server whose sockets are nearly used up, with real ones. */
+class HttpServerTest {
+    private static final int MOST = 40;
+    private static final byte[] BEAT = "POST /agent/beat HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n{}".getBytes(StandardCharsets.US_ASCII);
+    private static final byte[] UP = "GET /up HTTP/1.1\r\nHost: x\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
+
+    private final Loop loop = new Loop();
+    private final List<Socket> sockets = new ArrayList<>();
+    private final List<Consumer<HttpResponse>> held = new CopyOnWriteArrayList<>();
+    private InetSocketAddress address;
+    private Thread thread;
+
+    @BeforeEach
+    void serve() throws IOException {
+        int port;
+        try (ServerSocket free = new ServerSocket(0)) {
+            port = free.getLocalPort();
+        }
+        address = new InetSocketAddress("127.0.0.1", port);
+        new HttpServer(loop, new Endpoint("127.0.0.1", port), MOST, (request, reply) -> {
+            if (request.path().equals("/held")) {
+                held.add(reply);
+            } else {
+                reply.accept(HttpResponse.of(200));
+            }
+        });
+        thread = new Thread(() -> {
+            try {
+                loop.run();
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        thread.start();
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        loop.stop();
+        thread.join(5000);
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+    }
+
+    private Socket connect() throws IOException {
+        Socket socket = new Socket();
+        socket.setSoTimeout(5000);
+        socket.connect(address, 2000);
+        sockets.add(socket);
+        return socket;
+    }
+
+    /** The status that a request is answered with; 0 where the connection ends without one. */
+    private static int ask(Socket socket, byte[] request) {
+        try {
+            socket.getOutputStream().write(request);
+            InputStream in = socket.getInputStream();
+            byte[] head = in.readNBytes(12);
+            while (head.length == 12 && in.available() > 0) {
+                in.skip(in.available());
+            }
+            return head.length < 12 ? 0 : Integer.parseInt(new String(head, 9, 3, StandardCharsets.US_ASCII));
+        } catch (IOException e) {
+            return 0; // reset
+        }
+    }
+
+    /** Twice as many workers as there are sockets reconnect at once, beside idle users: each report is answered, and so is /up. */
+    @Test
+    void idleConnectionsMakeWayForReportsAndHealthChecks() throws IOException {
+        for (int i = 0; i < MOST; i++) {
+            connect();
+        }
+        for (int i = 0; i < 2 * MOST; i++) {
+            assertEquals(200, ask(connect(), BEAT), "report " + i);
+        }
+        assertEquals(200, ask(connect(), UP));
+    }
+
+    /** Where every connection waits for an answer, one more is refused at once; those that wait are answered. */
+    @Test
+    void whatIsOneTooManyIsRefusedAtOnce() throws Exception {
+        List<Socket> waiting = new ArrayList<>();
+        for (int i = 0; i < MOST; i++) {
+            Socket socket = connect();
+            socket.getOutputStream().write("GET /held HTTP/1.1\r\nHost: x\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            waiting.add(socket);
+        }
+        while (held.size() < MOST) {
+            Thread.sleep(5);
+        }
+        long begun = System.nanoTime();
+        assertEquals(0, ask(connect(), UP));
+        assertTrue(System.nanoTime() - begun < 2_000_000_000L, "refused after " + (System.nanoTime() - begun) / 1e9 + " s");
+        loop.after(org.quincecross.model.Span.ZERO, () -> held.forEach(reply -> reply.accept(HttpResponse.of(200))));
+        ask(connect(), UP); // wakes the loop; refused or not
+        for (Socket socket : waiting) {
+            assertEquals('H', socket.getInputStream().read());
+        }
+        assertEquals(200, ask(connect(), UP));
+    }
+}
