A drill of real processes in the tests; the leader steps when something happens, not ten times a second

TrySiteTest: all controllers killed and restarted, the maker of a site killed, ports, a jobs file with holes.

--- a/src/main/java/org/quincecross/emulator/Drill.java
+++ b/src/main/java/org/quincecross/emulator/Drill.java
@@ -84,7 +84,7 @@
         double now = around.clock().seconds();
         switch (phase) {
             case WAITS_FOR_REPLICAS -> {
-                if (now >= notBefore && replicasMissing() == 0 && around.users().submitted() > 0) {
+                if (now >= notBefore && replicasMissing() == 0 && allAccepted()) {
                     result.put("replicas", replicas());
                     result.put("machines", around.cloud().workers().size());
                     acceptedBefore = around.users().acceptedAfter().size();
@@ -190,6 +190,10 @@
         return around.cloud().workers().stream().filter(worker -> worker.answeredFrom() <= began).count();
     }
 
+    private boolean allAccepted() {
+        return around.users().submitted() > 0 && around.users().acceptedAfter().size() >= around.users().submitted();
+    }
+
     private Set<Job> services() {
         Set<Job> services = new HashSet<>();
         for (JobId id : around.users().told().keySet()) {
--- a/src/main/java/org/quincecross/leader/Leader.java
+++ b/src/main/java/org/quincecross/leader/Leader.java
@@ -57,13 +57,13 @@
  */
 public final class Leader {
     private static final Logger LOG = LoggerFactory.getLogger(Leader.class);
-    private static final Span TICK = Span.ofMillis(100);
+    private static final Span TICK = Span.ofMillis(500);
+    /** A refused or unanswered transaction is followed by another after so long. */
+    private static final Span RETRY = Span.ofMillis(100);
     /** Plans are at least this far apart: what comes together is planned together. */
     private static final Span PLAN_SPACING = Span.ofMillis(40);
     /** The same where nothing urgent has come: each plan looks at all that waits, however little is new. */
     private static final Span CALM_SPACING = Span.ofMillis(120);
-    /** Where nothing has come at all, so long: what changes with time alone changes slowly. */
-    private static final Span QUIET_SPACING = Span.ofMillis(500);
     private static final Span MOST_GATHERING = Span.ofSeconds(2);
     private static final Span SWEEP_EVERY = Span.ofSeconds(10);
     private static final Span UNCONFIRMED = Span.ofSeconds(2);
@@ -108,6 +108,7 @@
     private boolean waits;
     /** Whether the last transaction had no room for all that was to be written. */
     private boolean full;
+    private boolean retryPlanned;
     private boolean resultsFirst;
 
     public Leader(Timers timers, StateClient client, Ledger ledger, Follower follower, Membership membership,
@@ -135,14 +136,8 @@
             toLookAt.addAll(blocks);
             soon(false);
         });
-        timers.every(TICK, this::tick);
-    }
-
-    private void tick() {
-        Span spacing = waits ? CALM_SPACING : QUIET_SPACING;
-        if (state != State.LEADING || !spacing.isMoreThan(timers.now().since(planned))) {
-            step();
-        }
+        // What changes with time alone changes slowly; all else has this controller step when it happens.
+        timers.every(TICK, this::step);
     }
 
     public State state() {
@@ -234,6 +229,23 @@
         }
     }
 
+    /** Steps again after a refusal: once, however many there were. */
+    private void again() {
+        if (!retryPlanned) {
+            retryPlanned = true;
+            timers.after(RETRY, () -> {
+                retryPlanned = false;
+                step();
+            });
+        }
+    }
+
+    private void stepIf(boolean current) {
+        if (current) {
+            soon(true);
+        }
+    }
+
     private boolean leadsByLedger() {
         MemberRecord leader = ledger.leader();
         return leader != null && leader.member().equals(settings.member()) && leader.life().equals(membership.life());
@@ -244,7 +256,7 @@
             return;
         }
         if (awaited.isAfter(ledger.revision())) {
-            follower.barrier(ok -> { });
+            follower.barrier(this::stepIf);
             return;
         }
         if (!leadsByLedger()) {
@@ -313,9 +325,9 @@
                 if (isLeading()) {
                     enter(State.MENDING);
                 }
-                follower.barrier(ok -> { });
+                follower.barrier(this::stepIf);
             }
-            case REFUSED, UNAVAILABLE, NO_LEASE -> { }
+            case REFUSED, UNAVAILABLE, NO_LEASE -> again();
             default -> throw new IllegalStateException(outcome.kind().toString());
         }
     }
@@ -330,6 +342,7 @@
         int changes = Math.min(settings.stateLimits().txnChanges(), client.changesAffordable());
         waits = changes < LEAST_CHANGES;
         if (waits) {
+            again();
             return;
         }
         TxnPlan plan = new TxnPlan(ledger, changes, settings.stateLimits().valueBytes() - VALUE_MARGIN);
@@ -353,6 +366,8 @@
         waits |= full || !completed.isEmpty();
         if (!plan.isEmpty()) {
             write(plan.guards(), plan.changes(), false);
+        } else if (waits) {
+            soon(false);
         }
     }
 
--- /dev/null
+++ b/src/test/java/org/quincecross/emulator/TrySiteTest.java
@@ -0,0 +1,124 @@
+package org.quincecross.emulator;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.ByteArrayOutputStream;
+import java.io.File;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.quincecross.model.Endpoint;
+import org.quincecross.wire.BadMessage;
+import org.quincecross.wire.Fields;
+import org.quincecross.wire.Json;
+
+/** A site of real processes and sockets on loopback. */
+class TrySiteTest {
+    private static final String JAVA = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+    private static final String RUN = "java -Xmx80m -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xshare:auto -cp "
+            + System.getProperty("java.class.path") + " org.quincecross.program.Main --config";
+    private static final String JOBS = """
+            [[jobs]]
+            name = "front"
+            shape = "service"
+            rank = "critical"
+            team = "web"
+            copies = 3
+            tasks = 2
+            cpus = 2
+            memory_gb = 4
+
+            [[jobs]]
+            name = "rebuild"
+            shape = "array"
+            rank = "standard"
+            team = "batch"
+            copies = 2
+            tasks = 10
+            cpus = 1
+            memory_gb = 2
+            run_s = 1.5
+            """;
+
+    private static TrySite.Plan plan(String jobs, int basePort, Drill.Kind drill) {
+        return new TrySite.Plan(9, jobs, 60, new Endpoint("127.0.0.1", basePort), basePort, drill, RUN, new File("none.jar"),
+                Path.of("").toAbsolutePath(), true, false);
+    }
+
+    /** All controllers are killed and started again: every worker is answered, every replica is there, every job ends. */
+    @Test
+    void theRestartOfAllControllers() throws IOException, BadMessage {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        int status = new TrySite(plan(JOBS, 23_400, Drill.Kind.RESTART), new PrintStream(out, true)).run();
+        String summary = out.toString(StandardCharsets.UTF_8);
+        assertEquals(0, status, summary);
+        Fields all = Json.parseFields(summary.strip().getBytes(StandardCharsets.UTF_8));
+        assertEquals(List.of(), all.list("rules_broken"));
+        assertEquals("over", all.fields("drill").text("phase"));
+        assertEquals(6, all.fields("drill").count("replicas", 0, 100));
+        for (Fields controller : all.objects("controllers")) {
+            assertEquals(2, controller.count("starts", 0, 100));
+            assertTrue(controller.amount("resident_mb") < 200, summary);
+        }
+    }
+
+    /** The program that made the site is killed, with transactions on their way: its controllers end, and none is left. */
+    @Test
+    void nothingIsLeftOfASiteWhoseMakerIsKilled() throws IOException, InterruptedException {
+        Process maker = new ProcessBuilder(JAVA, "-cp", System.getProperty("java.class.path"), "org.quincecross.program.Main", "try",
+                "--machines", "9", "--listen", "127.0.0.1:24400", "--base-port", "24400").redirectErrorStream(true).start();
+        List<ProcessHandle> controllers;
+        try (BufferedReader said = new BufferedReader(new InputStreamReader(maker.getInputStream(), StandardCharsets.UTF_8))) {
+            String line = said.readLine();
+            assertTrue(line != null && line.startsWith("ready"), line);
+            controllers = maker.children().toList();
+            assertEquals(3, controllers.size());
+        } finally {
+            maker.destroyForcibly();
+        }
+        for (ProcessHandle controller : controllers) {
+            controller.onExit().completeOnTimeout(null, 10, TimeUnit.SECONDS).join();
+            assertFalse(controller.isAlive());
+        }
+    }
+
+    @Test
+    void aPortThatIsInUseIsNamed() throws IOException {
+        try (ServerSocket taken = new ServerSocket()) {
+            taken.bind(new InetSocketAddress("127.0.0.1", 25_411));
+            IOException e = assertThrows(IOException.class, () -> new TrySite(plan(JOBS, 25_400, null), System.out));
+            assertEquals("port 127.0.0.1:25411 is in use; choose others with --listen and --base-port", e.getMessage());
+        }
+    }
+
+    /** What is wrong with a jobs file is told by line and field. */
+    @Test
+    void aJobsFileWithAHole() {
+        Site site = Site.tryOut(9, false);
+        Stream.of(new String[] {"tasks = 2", "tasks = 0", "line 7: field tasks is not a whole number from 1 to 100000"},
+                new String[] {"cpus = 2", "cpu = 2", "line 8: field cpu is not known"},
+                new String[] {"cpus = 2\n", "\n", "line 1: field cpus is missing"},
+                new String[] {"team = \"web\"", "team = \"wep\"", "line 5: field team is not one of [web, batch]"},
+                new String[] {"shape = \"service\"", "shape = \"servant\"", "line 3: field shape is not one of [array, gang, service]"},
+                new String[] {"cpus = 2", "cpus = 20", "line 8: field cpus and memory_gb of a task fit no machine of this site"},
+                new String[] {"run_s = 1.5", "run_s = \"long\"", "line 20: field run_s is not a number from 0 to 100000.0"},
+                new String[] {"[[jobs]]\nname = \"front\"", "jobs = 3\n[[jobs]]\nname = \"front\"", "line 2: "},
+                new String[] {"copies = 3", "copies = 3 3", "line 6: "})
+                .forEach(each -> {
+                    BadMessage e = assertThrows(BadMessage.class, () -> JobsFile.read(JOBS.replaceFirst(each[0].replace("[", "\\["), each[1]), site));
+                    assertTrue(e.getMessage().startsWith(each[2]), e.getMessage());
+                });
+    }
+}
