--- a/src/main/java/org/quincecross/leader/Books.java
+++ b/src/main/java/org/quincecross/leader/Books.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -43,6 +44,8 @@
     private final Map<BlockId, Map<JobId, TaskSet>> allocated = new HashMap<>();
     private final Map<JobId, Map<BlockId, TaskSet>> where = new HashMap<>();
     private final Map<JobId, Account> accounts = new HashMap<>();
+    private final Map<JobId, JobRecord> openRecords = new HashMap<>();
+    private final Map<JobRecord, Account> open = new TreeMap<>(Comparator.comparing(JobRecord::version).thenComparing(JobRecord::id));
     private final Set<BlockId> leased = new HashSet<>();
     private final Set<JobId> waiting = new LinkedHashSet<>();
     private final Map<String, Use> use = new HashMap<>();
@@ -119,6 +122,10 @@
         changedBlocks.addAll(there.keySet());
         JobRecord record = ledger.job(id);
         waiting.remove(id);
+        JobRecord wasOpen = openRecords.remove(id);
+        if (wasOpen != null) {
+            open.remove(wasOpen);
+        }
         if (record == null || record.job() == null) {
             used(accounts.remove(id), null);
             return;
@@ -145,6 +152,10 @@
         }
         Account account = new Account(job, done, allOut, pool, perZone);
         used(accounts.put(id, account), account);
+        if (record.phase() == JobPhase.OPEN) {
+            openRecords.put(id, record);
+            open.put(record, account);
+        }
         if (!pool.isEmpty()) {
             waiting.add(id);
         }
@@ -194,6 +205,12 @@
         return accounts.get(job);
     }
 
+    /** The open jobs, first accepted first. */
+    Map<JobRecord, Account> open() {
+        refresh();
+        return open;
+    }
+
     /** The jobs with tasks in the pool. */
     Collection<JobId> waiting() {
         refresh();
--- a/src/main/java/org/quincecross/leader/Leader.java
+++ b/src/main/java/org/quincecross/leader/Leader.java
@@ -521,19 +521,18 @@
         }
         Map<String, Guarantee> guarantees = new HashMap<>();
         settings.teams().forEach((name, team) -> guarantees.put(name, new Guarantee(team.guarantee())));
-        for (JobRecord record : ledger.openJobs()) {
-            Guarantee guarantee = guarantees.get(record.job().team());
-            Books.Account account = guarantee == null ? null : books.account(record.id());
-            if (account == null) {
-                continue;
-            }
+        books.open().forEach((record, account) -> {
             Job job = account.job();
+            Guarantee guarantee = guarantees.get(job.team());
+            if (guarantee == null) {
+                return;
+            }
             boolean within = guarantee.covers(job.each(), job.tasks() - account.done().size());
             if (!account.pool().isEmpty()) {
                 demands.add(new Admission.Demand(job, record.version(), dueS(record), within, isHurried(job), account.pool(),
                         account.perZone()));
             }
-        }
+        });
         return demands;
     }
 
--- a/src/main/java/org/quincecross/model/JobId.java
+++ b/src/main/java/org/quincecross/model/JobId.java
@@ -14,6 +14,7 @@
     private final String text;
     /** The first digits, up to {@link #DIGITS_IN_NUMBER}. */
     private final long number;
+    private final int hash;
 
     /** {@code text} has the form of an id, as {@link #parse} checks. */
     public JobId(String text) {
@@ -23,6 +24,7 @@
             value = value * 10 + (text.charAt(i) - '0');
         }
         this.number = value;
+        this.hash = (int) (number ^ number >>> 32) * 31 + text.length();
     }
 
     public String text() {
@@ -71,7 +73,7 @@
 
     @Override
     public int hashCode() {
-        return (int) (number ^ number >>> 32) * 31 + text.length();
+        return hash;
     }
 
     @Override
