--- /dev/null
+++ b/src/main/java/org/quincecross/emulator/Load.java
@@ -0,0 +1,72 @@
+package org.quincecross.emulator;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.sampling.distribution.ContinuousSampler;
+import org.apache.commons.rng.sampling.distribution.DiscreteSampler;
+import org.apache.commons.rng.sampling.distribution.LogNormalSampler;
+import org.apache.commons.rng.sampling.distribution.RejectionInversionZipfSampler;
+import org.apache.commons.rng.sampling.distribution.ZigguratSampler;
+import org.apache.commons.rng.simple.RandomSource;
+import org.quincecross.model.Job;
+import org.quincecross.model.JobId;
+import org.quincecross.model.Shape;
+import org.quincecross.model.Span;
+
+/**
+ * The jobs that a site's classes name, submitted as they come: Poisson arrivals, log-normal sizes and run times, images by
+ * Zipf's law. Open loop: users do not wait for one another.
+ */
+final class Load {
+    private static final int FIRST_NUMBER = 100_000;
+    /** Of the logarithm of sizes and run times: a twentieth of them are above two and a half times the median. */
+    private static final double SIGMA = 0.55;
+    private static final double ZIPF = 0.9;
+
+    private final Surroundings around;
+    private final UniformRandomProvider random;
+    private final ContinuousSampler nearOne;
+    private int number = FIRST_NUMBER;
+
+    Load(Surroundings around, long seed) {
+        this.around = around;
+        this.random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+        this.nearOne = LogNormalSampler.of(ZigguratSampler.NormalizedGaussian.of(random), 0, SIGMA);
+    }
+
+    /** Submits what is there at the start, spread over some seconds, and what comes after that. */
+    void begin(double overSeconds) {
+        for (Site.JobClass each : around.site().classes()) {
+            DiscreteSampler images = RejectionInversionZipfSampler.of(random, each.images(), ZIPF);
+            for (int i = 0; i < each.initial(); i++) {
+                around.clock().after(random.nextDouble() * overSeconds, () -> around.users().submit(draw(each, images)));
+            }
+            if (each.perMinute() > 0) {
+                arrive(each, images, ZigguratSampler.Exponential.of(random, 60 / each.perMinute()), overSeconds);
+            }
+        }
+    }
+
+    private void arrive(Site.JobClass each, DiscreteSampler images, ContinuousSampler gaps, double inSeconds) {
+        around.clock().after(inSeconds + gaps.sample(), () -> {
+            Job job = draw(each, images);
+            around.users().submit(job);
+            if (job.shape() == Shape.SERVICE) {
+                around.clock().after(each.runS() * nearOne.sample(), () -> around.users().cancel(job.id()));
+            }
+            arrive(each, images, gaps, 0);
+        });
+    }
+
+    private Job draw(Site.JobClass each, DiscreteSampler images) {
+        String[] teams = around.site().teams().keySet().toArray(String[]::new);
+        String team = around.site().teams().containsKey(each.name()) ? each.name() : teams[random.nextInt(teams.length)];
+        boolean varies = each.shape() != Shape.GANG;
+        int tasks = varies ? (int) Math.max(1, Math.min(4 * each.meanTasks(), Math.round(each.meanTasks() * nearOne.sample()))) : each.meanTasks();
+        int image = images.sample();
+        return new Job(new JobId("job-" + number++), each.name(), team, each.shape(), each.rank(), tasks, each.each(), null, null,
+                each.shape() == Shape.GANG, each.spread(), each.spot(), each.name() + "-" + image, each.imageGb() * (0.6 + 0.8 * image / each.images()),
+                each.shape() == Shape.SERVICE ? Span.ZERO : Span.ofSeconds(each.runS() * Math.min(4, nearOne.sample())),
+                Span.ofSeconds(each.saveEveryS()), Span.ofSeconds(each.saveEveryS() > 0 ? 3 : 0),
+                each.dueS() > 0 ? Span.ofSeconds(each.dueS()) : null);
+    }
+}
--- a/src/main/java/org/quincecross/emulator/Measurement.java
+++ b/src/main/java/org/quincecross/emulator/Measurement.java
@@ -36,7 +36,8 @@
         this.kind = kind;
         this.machines = machines;
         this.world = new World(kind == Kind.FLEET ? Site.fleet(machines) : Site.mixed(machines), seed, meter);
-        world.time().at(JOBS_FROM_S, () -> world.users().begin(JOBS_OVER_S));
+        Load load = new Load(world.around(), seed);
+        world.time().at(JOBS_FROM_S, () -> load.begin(JOBS_OVER_S));
         world.time().at(RESTART_AT_S, () -> {
             for (int node = 0; node < world.nodeCount(); node++) {
                 world.crash(node);
--- a/src/main/java/org/quincecross/emulator/Users.java
+++ b/src/main/java/org/quincecross/emulator/Users.java
@@ -39,7 +39,6 @@
     private final Map<JobId, Double> overAfter = new HashMap<>();
     private final Map<String, Integer> answers = new TreeMap<>();
     private final Map<String, Double> longest = new TreeMap<>();
-    private int submittedLast;
 
     Users(Surroundings around) {
         this.around = around;
@@ -135,46 +134,6 @@
         }
     }
 
-    // ---- the load that a site names ----
-
-    /** Submits what is there at the start of the site's classes, spread over some seconds, and what comes after that. */
-    void begin(double overSeconds) {
-        for (Site.JobClass each : around.site().classes()) {
-            for (int i = 0; i < each.initial(); i++) {
-                around.clock().after(random.nextDouble() * overSeconds, () -> submit(draw(each)));
-            }
-            arrive(each, overSeconds);
-        }
-    }
-
-    private void arrive(Site.JobClass each, double inSeconds) {
-        if (each.perMinute() > 0) {
-            double gap = -Math.log(1 - random.nextDouble()) * 60 / each.perMinute();
-            around.clock().after(inSeconds + gap, () -> {
-                Job job = draw(each);
-                submit(job);
-                if (job.shape() == Shape.SERVICE) {
-                    around.clock().after(each.runS() * (0.5 + random.nextDouble()), () -> cancel(job.id()));
-                }
-                arrive(each, 0);
-            });
-        }
-    }
-
-    private Job draw(Site.JobClass each) {
-        String[] teams = around.site().teams().keySet().toArray(String[]::new);
-        String team = around.site().teams().containsKey(each.name()) ? each.name() : teams[random.nextInt(teams.length)];
-        int tasks = Math.max(1, (int) Math.round(each.meanTasks() * (0.25 + 1.5 * random.nextDouble() * random.nextDouble() * 2)));
-        double run = each.runS() * (0.5 + random.nextDouble());
-        double popular = random.nextDouble();
-        String image = each.name() + "-" + (int) (each.images() * popular * popular);
-        return new Job(new JobId("job-" + (100_000 + submittedLast++)), each.name(), team, each.shape(), each.rank(), tasks, each.each(),
-                null, null, each.shape() == Shape.GANG, each.spread(), each.spot(), image,
-                each.imageGb() * (0.6 + 0.8 * (image.hashCode() & 15) / 15.0),
-                each.shape() == Shape.SERVICE ? Span.ZERO : Span.ofSeconds(run), Span.ofSeconds(each.saveEveryS()),
-                Span.ofSeconds(each.saveEveryS() > 0 ? 3 : 0), each.dueS() > 0 ? Span.ofSeconds(each.dueS()) : null);
-    }
-
     // ---- requests ----
 
     private void sendSubmission(Job job, double since) {
