Without memory for more, new jobs are refused, and what was accepted is served

Need: a heap full of records ended a controller, then the next, and each again on its restart. A test in virtual time crashes all controllers meanwhile.

--- a/src/main/java/org/quincecross/api/Controller.java
+++ b/src/main/java/org/quincecross/api/Controller.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.quincecross.admin.AdminApi;
@@ -80,8 +81,12 @@
     private boolean newsPlanned;
     private boolean newsForAll;
 
-    /** {@code clockMs} tells the time of day. */
-    public Controller(Timers timers, HttpCaller http, PeerSender peers, Settings settings, LongSupplier clockMs) {
+    /**
+     * @param clockMs tells the time of day
+     * @param memoryIsShort whether there is no memory for more jobs
+     */
+    public Controller(Timers timers, HttpCaller http, PeerSender peers, Settings settings, LongSupplier clockMs,
+            BooleanSupplier memoryIsShort) {
         this.timers = timers;
         this.http = http;
         this.peers = peers;
@@ -95,7 +100,7 @@
         leader = new Leader(timers, client, ledger, follower, membership, settings, fleet, foresight, views, clockMs);
         cancellations = new Cancellations(timers, ledger, holdings, views, clockMs, CANCEL_TOLD_AFTER, settings.clockBound());
         users = new UserApi(timers, ledger, follower, client, settings, this::running, clockMs, cancellations,
-                membership::life);
+                membership::life, memoryIsShort);
         agents = new AgentApi(timers, ledger, holdings, leader, settings.member());
         stalls = new Stalls(timers, ledger, holdings, leader, this::running);
         admin = new AdminApi(timers, ledger, follower, membership, client, holdings, leader, metrics, stalls);
--- a/src/main/java/org/quincecross/api/UserApi.java
+++ b/src/main/java/org/quincecross/api/UserApi.java
@@ -1,6 +1,7 @@
 package org.quincecross.api;
 
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -31,6 +32,8 @@
 import org.quincecross.wire.Settings;
 import org.quincecross.wire.StateCodec.Change;
 import org.quincecross.wire.StateCodec.Guard;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Submissions, polls and cancellations. What users are told is durable first, and what is not final is told only after
@@ -42,6 +45,10 @@
     /** Of a poll's 2 s: what is left is for the way there and back. */
     private static final Span POLL_ANSWERED = Span.ofSeconds(1.6);
     private static final int CANCEL_TRIES = 6;
+    /** What fills the memory stays for long, so there is no hurry to come back. */
+    private static final int WITHOUT_MEMORY_S = 20;
+    private static final Span SAY_EVERY = Span.ofSeconds(60);
+    private static final Logger LOG = LoggerFactory.getLogger(UserApi.class);
 
     private final Timers timers;
     private final Ledger ledger;
@@ -54,9 +61,12 @@
     private final InTime changes;
     private final Submissions submissions;
     private final Cancellations cancellations;
+    private final BooleanSupplier memoryIsShort;
+    private SteadyTime saidShort;
 
     UserApi(Timers timers, Ledger ledger, Follower follower, StateClient client, Settings settings,
-            ToIntFunction<JobId> running, LongSupplier clockMs, Cancellations cancellations, Supplier<Incarnation> life) {
+            ToIntFunction<JobId> running, LongSupplier clockMs, Cancellations cancellations, Supplier<Incarnation> life,
+            BooleanSupplier memoryIsShort) {
         this.timers = timers;
         this.ledger = ledger;
         this.follower = follower;
@@ -65,6 +75,7 @@
         this.running = running;
         this.clockMs = clockMs;
         this.cancellations = cancellations;
+        this.memoryIsShort = memoryIsShort;
         this.polls = new InTime(timers, POLL_ANSWERED, later("the state service cannot be reached"));
         this.changes = new InTime(timers, Submissions.ANSWERED, later("not confirmed in time, ask again"));
         this.submissions = new Submissions(timers, client, follower, settings.member(), life, settings.stateLimits());
@@ -171,6 +182,11 @@
             reply.accept(later("the state service cannot be reached"));
             return;
         }
+        if (memoryIsShort.getAsBoolean()) {
+            sayShort();
+            reply.accept(later("no memory for more jobs").withRetryAfter(WITHOUT_MEMORY_S));
+            return;
+        }
         HttpResponse refusal;
         Job job = null;
         try {
@@ -190,6 +206,14 @@
         }
     }
 
+    private void sayShort() {
+        SteadyTime now = timers.now();
+        if (saidShort == null || now.since(saidShort).isMoreThan(SAY_EVERY)) {
+            saidShort = now;
+            LOG.error("memory is short with {} jobs on record: new ones are refused", ledger.jobCount());
+        }
+    }
+
     private void accept(Job job, Consumer<HttpResponse> reply) {
         submissions.submit(job, clockMs.getAsLong(), outcome -> {
             JobRecord record = ledger.job(job.id());
--- a/src/main/java/org/quincecross/emulator/World.java
+++ b/src/main/java/org/quincecross/emulator/World.java
@@ -30,6 +30,7 @@
     private final Surroundings around;
     private final Meter meter;
     private final List<Endpoint> nodes;
+    private boolean memoryIsShort;
     private final Map<String, Double> longestAnswers = new TreeMap<>();
     private final Life[] lives;
     private final Controller[] controllers;
@@ -149,7 +150,7 @@
                         time.whenAwake(lives[other], () -> meter.run("peer report", () -> to.frame(frame)));
                     });
                     return true;
-                }, site.settings(node, nodes, nodes, CLOUD, STATE), () -> (long) (time.seconds() * 1000));
+                }, site.settings(node, nodes, nodes, CLOUD, STATE), () -> (long) (time.seconds() * 1000), () -> memoryIsShort);
         meter.run("start", controllers[node]::start);
     }
 
@@ -180,6 +181,11 @@
         return -1;
     }
 
+    /** Has all controllers find their memory short, or not. */
+    void memoryIsShort(boolean now) {
+        memoryIsShort = now;
+    }
+
     void cut(String one, String other, double seconds, boolean lose) {
         net.cut(one, other, time.seconds() + seconds, lose);
     }
--- a/src/main/java/org/quincecross/program/Server.java
+++ b/src/main/java/org/quincecross/program/Server.java
@@ -33,7 +33,7 @@
             peers.put(sibling.member(), new FrameSender(loop, sibling.endpoint()));
         }
         Controller controller = new Controller(loop, new HttpClient(loop), (to, frame) -> peers.get(to).send(frame),
-                settings, System::currentTimeMillis);
+                settings, System::currentTimeMillis, new HeapWatch());
         int sockets = settings.quota().sockets();
         new HttpServer(loop, settings.listen(), Math.max(sockets / 2, sockets - SOCKETS_KEPT), controller);
         new FrameServer(loop, settings.peerListen(), controller::frame);
--- a/src/test/java/org/quincecross/emulator/HardCasesTest.java
+++ b/src/test/java/org/quincecross/emulator/HardCasesTest.java
@@ -9,7 +9,12 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.quincecross.model.Job;
 import org.quincecross.model.JobId;
+import org.quincecross.model.Rank;
+import org.quincecross.model.Resources;
+import org.quincecross.model.Shape;
+import org.quincecross.model.Span;
 import org.quincecross.wire.BadMessage;
 
 /** What happens to a fleet all at once, in virtual time. */
@@ -55,6 +60,11 @@
         }
     }
 
+    private static Job oneTask(JobId id) {
+        return new Job(id, "late", "batch", Shape.ARRAY, Rank.NORMAL, 1, new Resources(1, 0, 2), null, null, false, false, false, "late", 0.5,
+                Span.ofSeconds(6), Span.ZERO, Span.ZERO, null);
+    }
+
     private void assertAllIsWell(double atS) {
         world.time().runUntil(atS);
         assertEquals(List.of(), world.rules().broken());
@@ -87,19 +97,13 @@
 
     /** In an outage users come back in the very second that they were told; all are accepted soon after its end. */
     @Test
-    void aBurstOfSubmissionsThatCameBackAtTheSameSecond() throws BadMessage {
+    void aBurstOfSubmissionsThatCameBackAtTheSameSecond() {
         world.time().at(30, () -> world.state().outage(15));
         List<JobId> burst = new ArrayList<>();
-        String jobs = JOBS.substring(JOBS.indexOf("[[jobs]]", 10)).replace("copies = 12", "copies = 150").replace("every_s = 1.5", "every_s = 0")
-                .replace("tasks = 24", "tasks = 1");
-        int number = 50_000;
-        for (JobsFile.Due due : JobsFile.read(jobs, site)) {
-            JobId id = new JobId("job-" + number++);
+        for (int i = 0; i < 150; i++) {
+            JobId id = new JobId("job-" + (50_000 + i));
             burst.add(id);
-            var job = due.job();
-            world.time().at(33, () -> world.users().submit(new org.quincecross.model.Job(id, job.jobClass(), job.team(), job.shape(),
-                    job.rank(), job.tasks(), job.each(), null, null, false, false, false, job.image(), job.imageGb(), job.estimate(),
-                    job.checkpointEvery(), job.saveTime(), null)));
+            world.time().at(33, () -> world.users().submit(oneTask(id)));
         }
         world.time().runUntil(44.9);
         assertEquals(0, burst.stream().filter(world.users().acceptedAfter()::containsKey).count());
@@ -109,6 +113,24 @@
         assertAllIsWell(150);
     }
 
+    /** Without memory for more, new jobs are refused at once, to come back late; whatever was accepted goes on and is told. */
+    @Test
+    void withoutMemoryNewJobsAreRefusedAndOldOnesServed() {
+        world.time().at(25, () -> world.memoryIsShort(true));
+        JobId late = new JobId("job-77");
+        world.time().at(26, () -> world.users().submit(oneTask(late)));
+        for (int node = 0; node < site.nodes(); node++) {
+            int each = node;
+            world.time().at(28, () -> world.crash(each)); // each reads all records anew
+        }
+        world.time().runUntil(45);
+        assertTrue(!world.users().acceptedAfter().containsKey(late));
+        assertTrue(world.users().answers().getOrDefault("submit 503", 0) >= 1, world.users().answers().toString());
+        world.time().at(46, () -> world.memoryIsShort(false));
+        assertAllIsWell(140);
+        assertTrue(world.users().acceptedAfter().get(late) > 20, "it came back when it was told to");
+    }
+
     /** A leader stands still until another one leads, and goes on with plans and commands of the time before. */
     @ParameterizedTest
     @ValueSource(doubles = {4, 9, 20, 33})
