--- a/src/main/java/org/quincecross/emulator/TrySite.java
+++ b/src/main/java/org/quincecross/emulator/TrySite.java
@@ -226,8 +226,8 @@
                     if (drill != null) {
                         drill.begin(jobs.get(jobs.size() - 1).atS());
                     }
-                } else if (now > READY_WITHIN_S) {
-                    say("not ready after " + (int) now + " s: " + failures());
+                } else if (now > READY_WITHIN_S || controllers.stream().anyMatch(each -> each.state() == ControllerProcess.State.DOWN)) {
+                    say(String.format("not ready after %.1f s: %s", now, failures()));
                     enter(State.OVER);
                 }
             }
--- a/src/main/java/org/quincecross/program/TryCommand.java
+++ b/src/main/java/org/quincecross/program/TryCommand.java
@@ -92,7 +92,7 @@
         try {
             File jar = new File(TryCommand.class.getProtectionDomain().getCodeSource().getLocation().getPath());
             Path home = jar.getAbsoluteFile().toPath().getParent().getParent();
-            String run = deployedRun(home.resolve("deploy/service.toml"));
+            String run = jar.isDirectory() ? classesRun() : deployedRun(home.resolve("deploy/service.toml"));
             TrySite.Plan plan = new TrySite.Plan(machines, jobs == null ? null : Files.readString(jobs, StandardCharsets.UTF_8), forS, front,
                     basePort, kind(), run, jar, home, output.equals("json"), output.equals("text") && System.console() != null);
             return new TrySite(plan, System.out).run();
@@ -118,6 +118,12 @@
         throw wrong("--drill: '" + drill + "' is not one of restart, zone, state, workers");
     }
 
+    /** The command for a program that was not started from its jar, which may not be built yet. */
+    private static String classesRun() {
+        return "java -Xms24m -Xmx80m -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -cp " + System.getProperty("java.class.path") + " "
+                + Main.class.getName() + " --config";
+    }
+
     /** The command that the deploy file beside the jar runs, or null if there is none. */
     private static String deployedRun(Path file) throws IOException {
         if (!Files.exists(file)) {
