Emulator: methods that nobody calls are gone

From reading the change again: Measurement.calls, StateService.isOut, epoch and peek, and Worker.state had no caller. No serving controller loads these classes.

--- a/src/main/java/org/quincecross/emulator/Measurement.java
+++ b/src/main/java/org/quincecross/emulator/Measurement.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import java.util.TreeMap;
 
 /**
  * A day of a whole fleet in virtual time, all of whose controllers are restarted in the middle, and what it costs its
@@ -96,11 +95,4 @@
             }
         });
     }
-
-    /** How often a controller was called for anything, by what for: work that can be counted rather than timed. */
-    Map<String, Long> calls() {
-        Map<String, Long> calls = new TreeMap<>();
-        meter.costs().forEach((kind, cost) -> calls.put(kind, cost.calls()));
-        return calls;
-    }
 }
--- a/src/main/java/org/quincecross/emulator/StateService.java
+++ b/src/main/java/org/quincecross/emulator/StateService.java
@@ -105,10 +105,6 @@
         });
     }
 
-    boolean isOut() {
-        return out;
-    }
-
     void refuse(String node, double seconds) {
         refused.add(node);
         clock.after(seconds, () -> {
@@ -122,11 +118,6 @@
         return throttled;
     }
 
-    /** Rises with every change. */
-    long epoch() {
-        return epoch;
-    }
-
     @Override
     public boolean isUp() {
         return true;
@@ -364,10 +355,4 @@
             }
         });
     }
-
-    /** What a key holds, for the checks; null if there is no such key. */
-    Object peek(String key) {
-        Value value = keys.get(key);
-        return value == null ? null : value.value();
-    }
 }
--- a/src/main/java/org/quincecross/emulator/Worker.java
+++ b/src/main/java/org/quincecross/emulator/Worker.java
@@ -94,11 +94,6 @@
         return answeredFrom;
     }
 
-    /** What its tasks are doing, for those who look on. */
-    String state() {
-        return tasks.values().stream().map(task -> task.state).toList() + (traits.sick() ? " sick" : "");
-    }
-
     Machine machine() {
         return machine;
     }
