--- a/src/main/java/org/quincecross/admin/AdminApi.java
+++ b/src/main/java/org/quincecross/admin/AdminApi.java
@@ -42,9 +42,11 @@
     private final Leader leader;
     private final Metrics metrics;
     private final Stalls stalls;
+    private final ServedLog served;
 
+    /** @param served null where it is not counted who is served */
     public AdminApi(Timers timers, Ledger ledger, Follower follower, Membership membership, StateClient client,
-            Holdings holdings, Leader leader, Metrics metrics, Stalls stalls) {
+            Holdings holdings, Leader leader, Metrics metrics, Stalls stalls, ServedLog served) {
         this.timers = timers;
         this.ledger = ledger;
         this.follower = follower;
@@ -54,6 +56,7 @@
         this.leader = leader;
         this.metrics = metrics;
         this.stalls = stalls;
+        this.served = served;
     }
 
     public void handle(HttpRequest request, Consumer<HttpResponse> reply) {
@@ -96,7 +99,8 @@
                 "members", members, "revision", ledger.revision().number(),
                 "unconfirmed_ms", follower.confirmed() == null ? null : timers.now().since(follower.confirmed()).millis(),
                 "jobs", ledger.jobCount(), "blocks", ledger.blocks().size(), "blocks_held", holdings.all().size(),
-                "stalled", stalls.write());
+                "stalled", stalls.write(), "served", served == null ? null : served.write(),
+                "overload", served == null ? null : served.overload(timers.now()));
     }
 
     private Object blocks() {
--- a/src/main/java/org/quincecross/api/Controller.java
+++ b/src/main/java/org/quincecross/api/Controller.java
@@ -8,6 +8,7 @@
 import java.util.function.LongSupplier;
 import org.quincecross.admin.AdminApi;
 import org.quincecross.admin.Metrics;
+import org.quincecross.admin.ServedLog;
 import org.quincecross.admin.Stalls;
 import org.quincecross.block.HolderContext;
 import org.quincecross.block.Holdings;
@@ -24,6 +25,7 @@
 import org.quincecross.net.HttpCaller;
 import org.quincecross.net.HttpHandler;
 import org.quincecross.net.Timers;
+import org.quincecross.overload.Overload;
 import org.quincecross.peer.PeerCodec;
 import org.quincecross.peer.PeerReport;
 import org.quincecross.peer.PeerViews;
@@ -35,6 +37,7 @@
 import org.quincecross.state.Membership;
 import org.quincecross.state.StateClient;
 import org.quincecross.wire.BadMessage;
+import org.quincecross.wire.Features;
 import org.quincecross.wire.JobCodec;
 import org.quincecross.wire.Settings;
 import org.quincecross.wire.WorkerCodec;
@@ -71,6 +74,7 @@
     private final AgentApi agents;
     private final AdminApi admin;
     private final Stalls stalls;
+    private final ServedLog served;
     private final Cancellations cancellations;
     private final Metrics metrics = new Metrics();
     private final PeerViews views = new PeerViews();
@@ -82,10 +86,11 @@
     private boolean newsForAll;
 
     /**
+     * @param features what is switched on
      * @param clockMs tells the time of day
      * @param memoryIsShort whether there is no memory for more jobs
      */
-    public Controller(Timers timers, HttpCaller http, PeerSender peers, Settings settings, LongSupplier clockMs,
+    public Controller(Timers timers, HttpCaller http, PeerSender peers, Settings settings, Features features, LongSupplier clockMs,
             BooleanSupplier memoryIsShort) {
         this.timers = timers;
         this.http = http;
@@ -97,13 +102,15 @@
         holdings = new Holdings(this, settings.member(), membership::life);
         fleet = new Fleet(timers, http, ledger, settings, foresight, membership::life,
                 () -> AdminApi.settings(ledger));
-        leader = new Leader(timers, client, ledger, follower, membership, settings, fleet, foresight, views, clockMs);
+        leader = new Leader(timers, client, ledger, follower, membership, settings, fleet, foresight, views, clockMs,
+                features.overload() == null ? null : new Overload(features.overload()));
         cancellations = new Cancellations(timers, ledger, holdings, views, clockMs, CANCEL_TOLD_AFTER, settings.clockBound());
         users = new UserApi(timers, ledger, follower, client, settings, this::running, clockMs, cancellations,
                 membership::life, memoryIsShort);
         agents = new AgentApi(timers, ledger, holdings, leader, settings.member());
         stalls = new Stalls(timers, ledger, holdings, leader, this::running);
-        admin = new AdminApi(timers, ledger, follower, membership, client, holdings, leader, metrics, stalls);
+        served = features.servedEvery() == null ? null : new ServedLog(timers, ledger, leader, settings, clockMs, features.servedEvery());
+        admin = new AdminApi(timers, ledger, follower, membership, client, holdings, leader, metrics, stalls, served);
         longestUnconfirmed = longestUnconfirmed(settings.workers());
     }
 
@@ -130,6 +137,9 @@
         leader.start();
         fleet.start();
         stalls.start();
+        if (served != null) {
+            served.start();
+        }
         timers.every(TELL_EVERY, () -> tell(true, ++regularReports % LOOK_AT_ALL_EVERY == 0));
     }
 
--- a/src/main/java/org/quincecross/emulator/Load.java
+++ b/src/main/java/org/quincecross/emulator/Load.java
@@ -46,13 +46,38 @@
         }
     }
 
+    /** From now on for some time jobs of a class come several times as often. */
+    void burst(String jobClass, double factor, double seconds) {
+        double until = around.clock().seconds() + seconds;
+        for (Site.JobClass each : around.site().classes()) {
+            if (each.name().equals(jobClass) && each.perMinute() > 0 && factor > 1) {
+                more(each, RejectionInversionZipfSampler.of(random, each.images(), ZIPF),
+                        ZigguratSampler.Exponential.of(random, 60 / (each.perMinute() * (factor - 1))), until);
+            }
+        }
+    }
+
+    private void more(Site.JobClass each, DiscreteSampler images, ContinuousSampler gaps, double until) {
+        double gap = gaps.sample();
+        if (around.clock().seconds() + gap < until) {
+            around.clock().after(gap, () -> {
+                submit(each, images);
+                more(each, images, gaps, until);
+            });
+        }
+    }
+
+    private void submit(Site.JobClass each, DiscreteSampler images) {
+        Job job = draw(each, images);
+        around.users().submit(job);
+        if (job.shape() == Shape.SERVICE) {
+            around.clock().after(each.runS() * nearOne.sample(), () -> around.users().cancel(job.id()));
+        }
+    }
+
     private void arrive(Site.JobClass each, DiscreteSampler images, ContinuousSampler gaps, double inSeconds) {
         around.clock().after(inSeconds + gaps.sample(), () -> {
-            Job job = draw(each, images);
-            around.users().submit(job);
-            if (job.shape() == Shape.SERVICE) {
-                around.clock().after(each.runS() * nearOne.sample(), () -> around.users().cancel(job.id()));
-            }
+            submit(each, images);
             arrive(each, images, gaps, 0);
         });
     }
--- a/src/main/java/org/quincecross/emulator/Measurement.java
+++ b/src/main/java/org/quincecross/emulator/Measurement.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import org.quincecross.wire.Features;
 
 /**
  * A day of a whole fleet in virtual time, all of whose controllers are restarted in the middle, and what it costs its
@@ -31,10 +32,11 @@
     private final Meter meter = new Meter(true);
     private double lasted;
 
-    public Measurement(Kind kind, int machines, long seed) {
+    /** @param features what is switched on in all controllers */
+    public Measurement(Kind kind, int machines, long seed, Features features) {
         this.kind = kind;
         this.machines = machines;
-        this.world = new World(kind == Kind.FLEET ? Site.fleet(machines) : Site.mixed(machines), seed, meter);
+        this.world = new World(kind == Kind.FLEET ? Site.fleet(machines) : Site.mixed(machines), seed, meter, features);
         Load load = new Load(world.around(), seed);
         world.time().at(JOBS_FROM_S, () -> load.begin(JOBS_OVER_S));
         world.time().at(RESTART_AT_S, () -> {
--- /dev/null
+++ b/src/main/java/org/quincecross/emulator/OverloadDays.java
@@ -0,0 +1,130 @@
+package org.quincecross.emulator;
+
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.ToDoubleFunction;
+import java.util.stream.LongStream;
+import org.quincecross.served.Served;
+import org.quincecross.wire.Features;
+import org.quincecross.wire.Json;
+
+/** Many overloaded days, on all processors at once, and how they come out beside each other. */
+public final class OverloadDays {
+    private static final int STEPS = 10;
+
+    private final Measurement.Kind kind;
+    private final int machines;
+    private final List<OverloadDay.Result> results;
+
+    /** Plays {@code days} days, the first of which is that of {@code seed}. */
+    public OverloadDays(Measurement.Kind kind, int machines, long seed, int days, Features features) {
+        this.kind = kind;
+        this.machines = machines;
+        this.results = LongStream.range(seed, seed + days).parallel()
+                .mapToObj(each -> new OverloadDay(kind, machines, each, features).play()).toList();
+    }
+
+    /** Whether every rule was kept. */
+    public boolean isSound() {
+        return results.stream().allMatch(result -> result.rulesBroken() == 0);
+    }
+
+    /** Writes how many days came out how, and what each class and team got. */
+    public void write(PrintStream out) {
+        out.printf(Locale.ROOT, "%s, %d machines, %d days from seed %d, rules broken on %d%n%n", kind.toString().toLowerCase(Locale.ROOT), machines,
+                results.size(), results.get(0).seed(), results.stream().filter(result -> result.rulesBroken() > 0).count());
+        out.println("| days on which the least share was | 0 to 0.1 | 0.2 | 0.3 | 0.4 | 0.5 | 0.6 | 0.7 | 0.8 | 0.9 | 1 | mean |");
+        out.println("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+        row(out, "in time, of any class", OverloadDay.Result::leastInTime);
+        row(out, "that no scheduler surpasses", OverloadDay.Result::bound);
+        row(out, "by any aim or by starts, of any class", OverloadDay.Result::leastOfClasses);
+        row(out, "by any aim or by starts, of any team", OverloadDay.Result::leastOfTeams);
+        row(out, "of the processors beside services, used", OverloadDay.Result::usedShare);
+        out.println();
+        if (results.size() == 1) {
+            table(out, results.get(0));
+        } else {
+            means(out);
+        }
+    }
+
+    private void row(PrintStream out, String name, ToDoubleFunction<OverloadDay.Result> share) {
+        int[] days = new int[STEPS];
+        double sum = 0;
+        int known = 0;
+        for (OverloadDay.Result result : results) {
+            double value = share.applyAsDouble(result);
+            if (!Double.isNaN(value)) {
+                days[Math.max(0, Math.min(STEPS - 1, (int) Math.ceil(value * STEPS) - 1))]++;
+                sum += value;
+                known++;
+            }
+        }
+        StringBuilder line = new StringBuilder("| " + name);
+        for (int count : days) {
+            line.append(" | ").append(count);
+        }
+        out.println(line + String.format(Locale.ROOT, " | %.3f |", known == 0 ? 0 : sum / known));
+    }
+
+    /** What each class got, on all days together. */
+    private void means(PrintStream out) {
+        Map<String, double[]> sums = new TreeMap<>();
+        for (OverloadDay.Result result : results) {
+            result.classes().forEach((name, served) -> {
+                add(sums, name + " jobs ended", served.ended(), served.jobs());
+                add(sums, name + " tasks started", served.started(), served.startable());
+                served.aims().forEach(met -> add(sums, name + " " + met.aim(), met.met(), met.met() + met.missed()));
+            });
+        }
+        out.println("| what, of all days together | share | of |");
+        out.println("| --- | --- | --- |");
+        sums.forEach((name, sum) -> out.printf(Locale.ROOT, "| %s | %.3f | %.0f |%n", name, sum[1] == 0 ? 1 : sum[0] / sum[1], sum[1]));
+    }
+
+    private static void add(Map<String, double[]> sums, String name, double part, double all) {
+        double[] sum = sums.computeIfAbsent(name, key -> new double[2]);
+        sum[0] += part;
+        sum[1] += all;
+    }
+
+    private static void table(PrintStream out, OverloadDay.Result day) {
+        out.println("| team, class | least | jobs ended | tasks started | aims | starved, s |");
+        out.println("| --- | --- | --- | --- | --- | --- |");
+        day.groups().forEach((group, served) -> line(out, group.team() + ", " + group.jobClass(), served));
+        day.teams().forEach((team, served) -> line(out, "all of " + team, served));
+    }
+
+    private static void line(PrintStream out, String name, Served served) {
+        List<String> aims = new ArrayList<>();
+        served.aims().forEach(met -> aims.add(met.aim() + ": " + met.met() + " of " + (met.met() + met.missed())));
+        out.printf(Locale.ROOT, "| %s | %.2f | %d of %d | %d of %d | %s | %.0f |%n", name, served.least(), served.ended(), served.jobs(),
+                served.started(), served.startable(), String.join("; ", aims), served.starvedS());
+    }
+
+    /** The same as JSON: a list of days. */
+    public void writeJson(PrintStream out) {
+        List<Object> days = new ArrayList<>();
+        for (OverloadDay.Result result : results) {
+            days.add(Json.object("seed", result.seed(), "bound", Double.isNaN(result.bound()) ? null : result.bound(), "in_time", result.leastInTime(),
+                    "classes", served(result.classes()), "teams", served(result.teams()), "rules_broken", result.rulesBroken()));
+        }
+        out.println(new String(Json.write(days), java.nio.charset.StandardCharsets.UTF_8));
+    }
+
+    /** What each class or team got, as JSON has it. */
+    static Map<String, Object> served(Map<String, Served> all) {
+        Map<String, Object> written = Json.object();
+        all.forEach((name, served) -> {
+            Map<String, Object> aims = Json.object();
+            served.aims().forEach(met -> aims.put(met.aim(), met.share()));
+            written.put(name, Json.object("least", served.least(), "jobs", served.jobs(), "ended", served.ended(), "startable", served.startable(),
+                    "started", served.started(), "starved_s", served.starvedS(), "aims", aims));
+        });
+        return written;
+    }
+}
--- a/src/main/java/org/quincecross/emulator/Rules.java
+++ b/src/main/java/org/quincecross/emulator/Rules.java
@@ -11,7 +11,9 @@
 import org.quincecross.model.Machine;
 import org.quincecross.model.MachineId;
 import org.quincecross.model.Resources;
+import org.quincecross.model.Shape;
 import org.quincecross.model.TaskId;
+import org.quincecross.model.TaskSet;
 
 /** Watches over the rules of the protocol, at a cost in proportion to what happens. */
 final class Rules {
@@ -22,7 +24,9 @@
     private final Map<JobId, Double> cancelled = new HashMap<>();
     private final Map<JobId, String> last = new HashMap<>();
     private final Map<JobId, Set<Integer>> done = new HashMap<>();
+    private final Map<JobId, TaskSet> startedTasks = new HashMap<>();
     private final List<String> broken = new ArrayList<>();
+    private Resources standing = Resources.NONE;
     private int starts;
 
     Rules(Surroundings around) {
@@ -45,6 +49,9 @@
     private void count(TaskId task, Machine machine, int more) {
         Job job = around.job(task.job());
         used.merge(job.team(), job.each().times(more), Resources::plus);
+        if (job.shape() == Shape.SERVICE) {
+            standing = standing.plus(job.each().times(more));
+        }
         Map<String, Integer> ofJob = zones.computeIfAbsent(task.job(), id -> new HashMap<>());
         ofJob.merge(machine.zone(), more, Integer::sum);
         ofJob.values().remove(0);
@@ -56,6 +63,9 @@
     void on(TaskId task, Machine machine) {
         starts++;
         Job job = around.job(task.job());
+        TaskSet everOn = startedTasks.computeIfAbsent(task.job(), id -> new TaskSet());
+        everOn.add(task.index());
+        around.served().started(task.job(), everOn.size(), around.now());
         Map<MachineId, Machine> places = on.computeIfAbsent(task, t -> new HashMap<>(2));
         if (places.put(machine.id(), machine) == null) {
             count(task, machine, 1);
@@ -90,6 +100,9 @@
 
     void completed(TaskId task) {
         done.computeIfAbsent(task.job(), job -> new HashSet<>()).add(task.index());
+        if (completedTasks(task.job()) == around.job(task.job()).tasks()) {
+            around.served().done(task.job(), around.now());
+        }
     }
 
     boolean isCompleted(TaskId task) {
@@ -120,6 +133,11 @@
         return used.getOrDefault(team, Resources.NONE);
     }
 
+    /** What services take that are on machines. */
+    Resources standing() {
+        return standing;
+    }
+
     /** To be called now and then. */
     void check() {
         cancelled.keySet().forEach(this::checkCancelled);
--- a/src/main/java/org/quincecross/emulator/Surroundings.java
+++ b/src/main/java/org/quincecross/emulator/Surroundings.java
@@ -5,6 +5,9 @@
 import org.quincecross.model.Endpoint;
 import org.quincecross.model.Job;
 import org.quincecross.model.JobId;
+import org.quincecross.model.SteadyTime;
+import org.quincecross.served.ServedBooks;
+import org.quincecross.wire.Settings;
 
 /** Everything around the controllers of a site: state service, cloud with its workers, users, and who watches the rules. */
 final class Surroundings {
@@ -18,6 +21,7 @@
     private final Rules rules;
     private final Tasks tasks;
     private final Cloud cloud;
+    private final ServedBooks served;
 
     /**
      * @param nodes where each controller listens for users and workers
@@ -30,6 +34,7 @@
         this.random = random;
         this.nodes = nodes;
         this.state = new StateService(clock, random, site.stateLimits());
+        this.served = new ServedBooks(job -> Settings.aims(site.objectives(), job));
         this.users = new Users(this);
         this.rules = new Rules(this);
         this.tasks = new Tasks(users, rules);
@@ -76,6 +81,15 @@
         return rules;
     }
 
+    /** Who was served, as users and machines see it. */
+    ServedBooks served() {
+        return served;
+    }
+
+    SteadyTime now() {
+        return new SteadyTime((long) (clock.seconds() * 1e9));
+    }
+
     Tasks tasks() {
         return tasks;
     }
--- a/src/main/java/org/quincecross/emulator/Tasks.java
+++ b/src/main/java/org/quincecross/emulator/Tasks.java
@@ -28,8 +28,12 @@
             return 0; // its result is kept
         }
         Job job = users.job(task.job());
-        double real = job.estimate().seconds() * (0.5 + Math.floorMod(job.id().hashCode(), 100) / 100.0);
-        return Math.max(0, real - saved.getOrDefault(task, 0.0));
+        return Math.max(0, secondsOf(job) - saved.getOrDefault(task, 0.0));
+    }
+
+    /** Seconds of work, at nominal speed, of each task of a job: half of its estimate to one and a half times. */
+    double secondsOf(Job job) {
+        return job.estimate().seconds() * (0.5 + Math.floorMod(job.id().hashCode(), 100) / 100.0);
     }
 
     /** A task has saved so many seconds more than it had when it started. */
--- a/src/main/java/org/quincecross/emulator/Users.java
+++ b/src/main/java/org/quincecross/emulator/Users.java
@@ -64,6 +64,11 @@
         return told;
     }
 
+    /** When each job was submitted for the first time. */
+    Map<JobId, Double> submittedAt() {
+        return submittedAt;
+    }
+
     /** Seconds from the first try to the acceptance of each job that was accepted. */
     Map<JobId, Double> acceptedAfter() {
         return acceptedAfter;
@@ -111,6 +116,7 @@
     JobId submit(Job job) {
         jobs.put(job.id(), job);
         submittedAt.put(job.id(), around.clock().seconds());
+        around.served().accepted(job, around.now());
         sendSubmission(job, around.clock().seconds());
         return job.id();
     }
@@ -200,7 +206,9 @@
             around.clock().after(1, () -> cancel(id)); // not accepted yet
             return;
         }
-        cancelAsked.put(id, true);
+        if (cancelAsked.put(id, true) == null) {
+            around.served().cancelled(id, around.now());
+        }
         String before = around.rules().lastTold(id);
         ask("cancel", HttpRequest.post(JobCodec.JOBS + "/" + id + JobCodec.CANCEL, new byte[0]), SUBMIT_TIMEOUT_S, outcome -> {
             if (outcome.status() == 200) {
--- a/src/main/java/org/quincecross/emulator/Worker.java
+++ b/src/main/java/org/quincecross/emulator/Worker.java
@@ -380,6 +380,10 @@
         return task != null && task.state.equals("gathering");
     }
 
+    Resources capacity() {
+        return capacity;
+    }
+
     double speed() {
         return traits.speed();
     }
--- a/src/main/java/org/quincecross/emulator/World.java
+++ b/src/main/java/org/quincecross/emulator/World.java
@@ -15,6 +15,7 @@
 import org.quincecross.model.JobId;
 import org.quincecross.model.Team;
 import org.quincecross.wire.BadMessage;
+import org.quincecross.wire.Features;
 import org.quincecross.wire.Fields;
 import org.quincecross.wire.Json;
 
@@ -23,14 +24,19 @@
     private static final Endpoint STATE = new Endpoint("10.2.0.1", 2379);
     private static final Endpoint CLOUD = new Endpoint("10.2.0.2", 8443);
 
+    /** The time of day when a world begins. */
+    private static final double EPOCH_S = 1_000_000;
+
     private final VirtualTime time = new VirtualTime();
     private final Site site;
+    private final Features features;
     private final Random random;
     private final VirtualNet net;
     private final Surroundings around;
     private final Meter meter;
     private final List<Endpoint> nodes;
     private boolean memoryIsShort;
+    private double clockAheadS = EPOCH_S;
     private final Map<String, Double> longestAnswers = new TreeMap<>();
     private final Life[] lives;
     private final Controller[] controllers;
@@ -42,7 +48,13 @@
     }
 
     World(Site site, long seed, Meter meter) {
+        this(site, seed, meter, Features.NONE);
+    }
+
+    /** @param features what is switched on in all controllers */
+    World(Site site, long seed, Meter meter, Features features) {
         this.site = site;
+        this.features = features;
         this.meter = meter;
         random = new Random(seed);
         net = new VirtualNet(time, random);
@@ -150,7 +162,7 @@
                         time.whenAwake(lives[other], () -> meter.run("peer report", () -> to.frame(frame)));
                     });
                     return true;
-                }, site.settings(node, nodes, nodes, CLOUD, STATE), () -> (long) (time.seconds() * 1000), () -> memoryIsShort);
+                }, site.settings(node, nodes, nodes, CLOUD, STATE), features, () -> (long) ((time.seconds() + clockAheadS) * 1000), () -> memoryIsShort);
         meter.run("start", controllers[node]::start);
     }
 
@@ -186,10 +198,27 @@
         memoryIsShort = now;
     }
 
+    /** The time of day is set forward for all controllers, or back. */
+    void setClock(double aheadS) {
+        clockAheadS = EPOCH_S + aheadS;
+    }
+
     void cut(String one, String other, double seconds, boolean lose) {
         net.cut(one, other, time.seconds() + seconds, lose);
     }
 
+    Object statusRaw(int node) {
+        Object[] status = new Object[1];
+        controllers[node].handle(HttpRequest.get("/admin/status"), response -> {
+            try {
+                status[0] = ((Map<?, ?>) Json.parse(response.body())).get("overload");
+            } catch (BadMessage e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        return String.valueOf(status[0]);
+    }
+
     /** What a controller's status says; null where it is down. */
     Fields status(int node) {
         Fields[] status = new Fields[1];
--- a/src/main/java/org/quincecross/leader/Books.java
+++ b/src/main/java/org/quincecross/leader/Books.java
@@ -53,6 +53,12 @@
     private final Set<JobId> toCount = new LinkedHashSet<>();
     private final Set<BlockId> changedBlocks = new HashSet<>();
     private long counted;
+    private final List<Given> listeners = new ArrayList<>();
+
+    /** Has {@code listener} told of tasks that leave the pool from now on. */
+    void listen(Given listener) {
+        listeners.add(listener);
+    }
 
     Books(Ledger ledger) {
         this.ledger = ledger;
@@ -151,7 +157,13 @@
             pool.removeAll(allOut);
         }
         Account account = new Account(job, done, allOut, pool, perZone);
-        used(accounts.put(id, account), account);
+        Account before = accounts.put(id, account);
+        used(before, account);
+        int reached = done.size() + allOut.size();
+        int more = reached - (before == null ? 0 : before.done().size() + before.out().size());
+        if (more > 0) {
+            listeners.forEach(listener -> listener.given(id, more, reached));
+        }
         if (record.phase() == JobPhase.OPEN) {
             openRecords.put(id, record);
             open.put(record, account);
@@ -211,6 +223,12 @@
         return open;
     }
 
+    /** The ids of the open jobs. */
+    Set<JobId> openIds() {
+        refresh();
+        return openRecords.keySet();
+    }
+
     /** The jobs with tasks in the pool. */
     Collection<JobId> waiting() {
         refresh();
--- /dev/null
+++ b/src/main/java/org/quincecross/leader/Demands.java
@@ -0,0 +1,206 @@
+package org.quincecross.leader;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.LongSupplier;
+import org.quincecross.model.Aim;
+import org.quincecross.model.Job;
+import org.quincecross.model.JobId;
+import org.quincecross.model.MachineType;
+import org.quincecross.model.Rank;
+import org.quincecross.model.Resources;
+import org.quincecross.model.Shape;
+import org.quincecross.model.Span;
+import org.quincecross.model.SteadyTime;
+import org.quincecross.overload.Claim;
+import org.quincecross.overload.Goal;
+import org.quincecross.overload.Overload;
+import org.quincecross.overload.Verdict;
+import org.quincecross.sched.Admission;
+import org.quincecross.state.JobRecord;
+import org.quincecross.state.Ledger;
+import org.quincecross.wire.Settings;
+
+/** What waits to be admitted, and when it should be over; where there is more than can be done in time, in what order. */
+final class Demands {
+    /** A job that nobody waits for by a certain time comes after those of about an hour's patience. */
+    private static final double NO_DEADLINE_S = 3600;
+    /** Estimates are often too high by half: a job that has less of its estimated time left will be late. */
+    private static final double FEASIBLE = 0.6;
+
+    /** From the start of its last task to the end of a job, in estimates: the estimate and a fetch. */
+    private static final double TAIL = 1.1;
+
+    private final Ledger ledger;
+    private final Settings settings;
+    private final Books books;
+    private final LongSupplier clockMs;
+    private final Overload overload;
+    private final Map<JobId, Age> ages = new HashMap<>();
+
+    /** How old a job was when it was first looked at here, and when that was. */
+    private record Age(double seconds, SteadyTime at) {
+    }
+
+    /**
+     * @param clockMs tells the time of day
+     * @param overload null where work is ordered by due time alone
+     */
+    Demands(Ledger ledger, Settings settings, Books books, LongSupplier clockMs, Overload overload) {
+        this.ledger = ledger;
+        this.settings = settings;
+        this.books = books;
+        this.clockMs = clockMs;
+        this.overload = overload;
+        if (overload != null) {
+            books.listen((job, more, reached) -> overload.given(job, more));
+        }
+    }
+
+    /** A job with tasks in the pool. */
+    private record Waiting(JobRecord record, Books.Account account, boolean guaranteed) {
+    }
+
+    /** All that waits; of a job that has its turn for some of its tasks, these first. */
+    List<Admission.Demand> demands(Collection<Admission.Block> blocks, SteadyTime now) {
+        List<Admission.Demand> demands = new ArrayList<>();
+        List<Waiting> waiting = waiting();
+        if (overload == null) {
+            for (Waiting each : waiting) {
+                demands.add(inOrder(each, dueS(each.account.job(), age(each.record))));
+            }
+            return demands;
+        }
+        ages.keySet().retainAll(books.openIds());
+        List<Claim> claims = new ArrayList<>();
+        Resources room = Admission.roomForArrays(blocks);
+        for (Waiting each : waiting) {
+            if (each.account.job().rank() != Rank.PRODUCTION) {
+                claims.add(claim(each, room, now));
+            }
+        }
+        Map<JobId, Verdict> verdicts = overload.look(claims, now);
+        for (Waiting each : waiting) {
+            Verdict verdict = verdicts.get(each.record.id());
+            if (verdict == null) {
+                demands.add(inOrder(each, dueS(each.account.job(), steadyAge(each.record, now))));
+                continue;
+            }
+            Admission.Demand all = demand(each, verdict.dueS(),
+                    verdict.standing() == Verdict.Standing.SET_ASIDE ? Admission.Place.SET_ASIDE : Admission.Place.IN_ORDER, verdict.order());
+            all.withTurn(verdict.turn()).forEach(demands::add);
+        }
+        return demands;
+    }
+
+    private List<Waiting> waiting() {
+        List<Waiting> waiting = new ArrayList<>();
+        if (books.waiting().isEmpty()) {
+            return waiting;
+        }
+        Map<String, Guarantee> guarantees = new HashMap<>();
+        settings.teams().forEach((name, team) -> guarantees.put(name, new Guarantee(team.guarantee())));
+        books.open().forEach((record, account) -> {
+            Guarantee guarantee = guarantees.get(account.job().team());
+            if (guarantee == null) {
+                return;
+            }
+            boolean within = guarantee.covers(account.job().each(), account.job().tasks() - account.done().size());
+            if (!account.pool().isEmpty()) {
+                waiting.add(new Waiting(record, account, within));
+            }
+        });
+        return waiting;
+    }
+
+    private Admission.Demand inOrder(Waiting each, double dueS) {
+        return demand(each, dueS, Admission.Place.IN_ORDER, Verdict.byDue(dueS));
+    }
+
+    private Admission.Demand demand(Waiting each, double dueS, Admission.Place place, double order) {
+        Job job = each.account.job();
+        return new Admission.Demand(job, each.record.version(), dueS, each.guaranteed, isHurried(job), each.account.pool(),
+                each.account.perZone(), place, order);
+    }
+
+    private Claim claim(Waiting each, Resources room, SteadyTime now) {
+        Job job = each.account.job();
+        double age = steadyAge(each.record, now);
+        // Where there is next to no room, a task takes at least all of it.
+        double share = job.each().shareOf(room.most(job.each()));
+        double run = Math.max(1, job.estimate().seconds());
+        return new Claim(job.id(), new Claim.Group(job.team(), job.jobClass()), job.rank(), each.guaranteed, each.record.version(),
+                each.account.pool().size(), job.shape() != Shape.GANG, share * run, TAIL * run, age, goals(job, age));
+    }
+
+    /** What a team is guaranteed, and what its jobs come to that were accepted so far: looked at for every open job. */
+    private static final class Guarantee {
+        private final Resources most;
+        private double cpus;
+        private double gpus;
+        private double memoryGb;
+
+        Guarantee(Resources most) {
+            this.most = most;
+        }
+
+        /** Counts the tasks of one more job; whether all up to it are within the guarantee. */
+        boolean covers(Resources each, int tasks) {
+            cpus += each.cpus() * tasks;
+            gpus += each.gpus() * tasks;
+            memoryGb += each.memoryGb() * tasks;
+            return new Resources(cpus, gpus, memoryGb).fitsIn(most);
+        }
+    }
+
+    /** Whether fetching its image takes longer, on the quickest machines, than the job's tasks may take to start. */
+    private boolean isHurried(Job job) {
+        Span within = settings.startWithin(job.jobClass());
+        double rate = 0;
+        for (MachineType type : ledger.types().values()) {
+            rate = Math.max(rate, type.fetchGbPerS());
+        }
+        return within != null && job.rank() == Rank.PRODUCTION && job.imageGb() > rate * within.seconds();
+    }
+
+    private double age(JobRecord record) {
+        return (clockMs.getAsLong() - record.acceptedMs()) / 1000.0;
+    }
+
+    /**
+     * How old a job is, in seconds: by the time of day as it was when the job was first looked at here, and by the steady clock from
+     * then on. A time of day that jumps makes nothing late that is known, and nothing younger than new.
+     */
+    private double steadyAge(JobRecord record, SteadyTime now) {
+        Age age = ages.computeIfAbsent(record.id(), id -> new Age(Math.max(0, age(record)), now));
+        return age.seconds + now.since(age.at).seconds();
+    }
+
+    private List<Goal> goals(Job job, double age) {
+        List<Goal> goals = new ArrayList<>();
+        for (Aim aim : settings.aims(job)) {
+            goals.add(new Goal(aim.within().seconds() - age, aim.of() == Aim.Of.EACH_START));
+        }
+        return goals;
+    }
+
+    /**
+     * Seconds until a job should be over: by its deadline, a multiple of it, or what is expected of its class, whichever
+     * comes first of those that it can still meet. What can meet none is late.
+     */
+    private double dueS(Job job, double age) {
+        double soonest = FEASIBLE * job.estimate().seconds();
+        double last = NO_DEADLINE_S;
+        for (Aim aim : settings.aims(job)) {
+            double left = aim.within().seconds() - age;
+            if (left > soonest) {
+                return left;
+            }
+            last = Math.min(-1, left);
+        }
+        return last < 0 ? last : last - age;
+    }
+}
--- a/src/main/java/org/quincecross/leader/Leader.java
+++ b/src/main/java/org/quincecross/leader/Leader.java
@@ -28,6 +28,7 @@
 import org.quincecross.model.TaskSet;
 import org.quincecross.model.Team;
 import org.quincecross.net.Timers;
+import org.quincecross.overload.Overload;
 import org.quincecross.peer.PeerReport;
 import org.quincecross.peer.PeerViews;
 import org.quincecross.sched.Admission;
@@ -67,10 +68,6 @@
     private static final Span MOST_GATHERING = Span.ofSeconds(2);
     private static final Span SWEEP_EVERY = Span.ofSeconds(10);
     private static final Span UNCONFIRMED = Span.ofSeconds(2);
-    /** A job that nobody waits for by a certain time comes after those of about an hour's patience. */
-    private static final double NO_DEADLINE_S = 3600;
-    /** Estimates are often too high by half: a job that has less of its estimated time left will be late. */
-    private static final double FEASIBLE = 0.6;
     private static final int LEAST_CHANGES = 2;
     private static final int VALUE_MARGIN = 64;
     /** A block whose record names so many tasks that are done is worth writing anew. */
@@ -87,7 +84,8 @@
     private final Settings settings;
     private final Fleet fleet;
     private final Foresight foresight;
-    private final LongSupplier clockMs;
+    private final Overload overload;
+    private final Demands demands;
     private final PeerViews views;
     private final Books books;
     private final Map<BlockId, Admission.Block> admissionBlocks = new TreeMap<>();
@@ -111,8 +109,12 @@
     private boolean retryPlanned;
     private boolean resultsFirst;
 
+    /**
+     * @param clockMs tells the time of day
+     * @param overload null where work is ordered by due time alone
+     */
     public Leader(Timers timers, StateClient client, Ledger ledger, Follower follower, Membership membership,
-            Settings settings, Fleet fleet, Foresight foresight, PeerViews views, LongSupplier clockMs) {
+            Settings settings, Fleet fleet, Foresight foresight, PeerViews views, LongSupplier clockMs, Overload overload) {
         this.timers = timers;
         this.client = client;
         this.ledger = ledger;
@@ -126,7 +128,8 @@
         this.fresh = new FreshViews(timers, ledger, views);
         this.leases = new Leases(timers, ledger, settings, fleet, foresight, books, fresh);
         this.results = new Results(timers, ledger, views, books);
-        this.clockMs = clockMs;
+        this.overload = overload;
+        this.demands = new Demands(ledger, settings, books, clockMs, overload);
         this.planned = timers.now();
         this.swept = timers.now();
     }
@@ -184,6 +187,32 @@
         }
     }
 
+    /** Has {@code listener} told of tasks that are given to blocks, by whichever leader. */
+    public void listen(Given listener) {
+        books.listen(listener);
+    }
+
+    /** Takes note of what others have allocated: a leader does so as it plans. */
+    public void lookAtBooks() {
+        books.waiting();
+    }
+
+    /** How many of a job's tasks in the pool could not go to any block, because its team would be over its limit. */
+    public int heldBack(JobId id) {
+        Books.Account account = books.account(id);
+        Team team = account == null ? null : settings.teams().get(account.job().team());
+        if (team == null || account.pool().isEmpty()) {
+            return 0;
+        }
+        Resources use = books.teamUse().getOrDefault(team.name(), Resources.NONE);
+        return Math.max(0, account.pool().size() - team.limit().minus(use).count(account.job().each()));
+    }
+
+    /** What is known of an overload; null where work is ordered by due time alone, or nobody leads here. */
+    public Overload overload() {
+        return isLeading() ? overload : null;
+    }
+
     /** What the tasks of an open job that are in the pool wait for, in words; null where none are, or nobody leads here. */
     public String poolWait(JobId id) {
         Books.Account account = isLeading() ? books.account(id) : null;
@@ -402,7 +431,7 @@
             }
         });
         Admission admission = new Admission(blocks, settings.teams(), books.teamUse(), reserves);
-        fleet.unmet(admission.run(demands()));
+        fleet.unmet(admission.run(demands.demands(blocks, timers.now())));
         List<BlockId> toWrite = new ArrayList<>();
         Span gathering = Span.ofSeconds(Math.min(MOST_GATHERING.seconds(),
                 ledger.blocks().size() / settings.stateLimits().writesPerS()));
@@ -514,87 +543,6 @@
         return block;
     }
 
-    private List<Admission.Demand> demands() {
-        List<Admission.Demand> demands = new ArrayList<>();
-        if (books.waiting().isEmpty()) {
-            return demands;
-        }
-        Map<String, Guarantee> guarantees = new HashMap<>();
-        settings.teams().forEach((name, team) -> guarantees.put(name, new Guarantee(team.guarantee())));
-        books.open().forEach((record, account) -> {
-            Job job = account.job();
-            Guarantee guarantee = guarantees.get(job.team());
-            if (guarantee == null) {
-                return;
-            }
-            boolean within = guarantee.covers(job.each(), job.tasks() - account.done().size());
-            if (!account.pool().isEmpty()) {
-                demands.add(new Admission.Demand(job, record.version(), dueS(record), within, isHurried(job), account.pool(),
-                        account.perZone()));
-            }
-        });
-        return demands;
-    }
-
-    /** What a team is guaranteed, and what its jobs come to that were accepted so far: looked at for every open job. */
-    private static final class Guarantee {
-        private final Resources most;
-        private double cpus;
-        private double gpus;
-        private double memoryGb;
-
-        Guarantee(Resources most) {
-            this.most = most;
-        }
-
-        /** Counts the tasks of one more job; whether all up to it are within the guarantee. */
-        boolean covers(Resources each, int tasks) {
-            cpus += each.cpus() * tasks;
-            gpus += each.gpus() * tasks;
-            memoryGb += each.memoryGb() * tasks;
-            return new Resources(cpus, gpus, memoryGb).fitsIn(most);
-        }
-    }
-
-    /** Whether fetching its image takes longer, on the quickest machines, than the job's tasks may take to start. */
-    private boolean isHurried(Job job) {
-        Span within = settings.startWithin(job.jobClass());
-        double rate = 0;
-        for (MachineType type : ledger.types().values()) {
-            rate = Math.max(rate, type.fetchGbPerS());
-        }
-        return within != null && job.rank() == Rank.PRODUCTION && job.imageGb() > rate * within.seconds();
-    }
-
-    /**
-     * Seconds until a job should be over: by its deadline, a multiple of it, or what is expected of its class, whichever
-     * comes first of those that it can still meet. What can meet none is late.
-     */
-    private double dueS(JobRecord record) {
-        double age = (clockMs.getAsLong() - record.acceptedMs()) / 1000.0;
-        Job job = record.job();
-        double soonest = FEASIBLE * job.estimate().seconds();
-        double due = Double.MAX_VALUE;
-        double last = job.deadline() == null ? -1 : job.deadline().seconds();
-        if (job.deadline() != null && last - age > soonest) {
-            due = last - age;
-        }
-        for (Settings.Objective objective : settings.objectives()) {
-            if (job.jobClass().equals(objective.jobClass())) {
-                double within = objective.within() != null ? objective.within().seconds()
-                        : job.deadline() != null ? objective.times() * job.deadline().seconds() : -1;
-                last = Math.max(last, within);
-                if (within - age > soonest) {
-                    due = Math.min(due, within - age);
-                }
-            }
-        }
-        if (due < Double.MAX_VALUE) {
-            return due;
-        }
-        return last < 0 ? NO_DEADLINE_S - age : Math.min(-1, last - age);
-    }
-
     private Fleet.View fleetView() {
         Map<MachineId, PeerReport.MachineState> states = new HashMap<>();
         Set<MachineId> strays = new HashSet<>();
--- /dev/null
+++ b/src/main/java/org/quincecross/model/Aim.java
@@ -0,0 +1,13 @@
+package org.quincecross.model;
+
+/**
+ * What is expected of each job of a class, or of each of its tasks.
+ *
+ * @param name as it is shown
+ * @param of whether it says when each task should start, or when the whole job should end
+ * @param within from the acceptance of the job
+ */
+public record Aim(String name, Of of, Span within) {
+    /** What an aim is about. */
+    public enum Of { EACH_START, END }
+}
--- /dev/null
+++ b/src/main/java/org/quincecross/overload/Shares.java
@@ -0,0 +1,13 @@
+package org.quincecross.overload;
+
+/**
+ * How much of what is there for arrays, beyond services, goes to whom while there is too little.
+ *
+ * @param usable the part of the room that is really at work: the rest is fetching images, booting, or left over
+ * @param coming the part of the work that comes that is due before what waits
+ * @param floor the part that all groups with waiting work are sure of, in equal parts
+ * @param turns the part for what was set aside, oldest first
+ */
+public record Shares(double usable, double coming, double floor, double turns) {
+    public static final Shares DEFAULTS = new Shares(0.85, 0.5, 0.1, 0.1);
+}
--- a/src/main/java/org/quincecross/program/Main.java
+++ b/src/main/java/org/quincecross/program/Main.java
@@ -12,14 +12,15 @@
 
     public static void main(String[] args) {
         configureLogging(System.getenv("LOG_LEVEL"));
-        if (args.length == 2 && args[0].equals("--config")) {
-            // The one call that the platform makes. The command-line library is compiled for such an old class format
-            // that no class-data archive takes it, and loading it is half of the time that a restart takes.
-            System.exit(serve(Path.of(args[1])));
-        }
-        if (args.length == 3 && args[0].equals("--config") && args[2].equals("--end-with-input")) {
-            endWithInput();
-            System.exit(serve(Path.of(args[1])));
+        // The calls that the platform makes, and those that a trial makes. The command-line library is compiled for such an old
+        // class format that no class-data archive takes it, and loading it is half of the time that a restart takes.
+        int from = args.length >= 4 && args[0].equals("--with") ? 2 : 0;
+        boolean ends = args.length == from + 3 && args[from + 2].equals("--end-with-input");
+        if ((args.length == from + 2 || ends) && args[from].equals("--config")) {
+            if (ends) {
+                endWithInput();
+            }
+            System.exit(serve(Path.of(args[from + 1]), from == 0 ? null : Path.of(args[1])));
         }
         CommandLine line = new CommandLine(new QuincecrossCommand());
         int status = line.execute(args);
@@ -44,10 +45,14 @@
         watcher.start();
     }
 
-    /** Serves until the process is killed; returns the exit status if it cannot. */
-    static int serve(Path config) {
+    /**
+     * Serves until the process is killed; returns the exit status if it cannot.
+     *
+     * @param with the file that switches features on, or null
+     */
+    static int serve(Path config, Path with) {
         try {
-            new Server(SettingsFile.read(config)).run();
+            new Server(SettingsFile.read(config), SettingsFile.features(with)).run();
             return 0;
         } catch (IOException e) {
             System.err.println("quincecross: " + e.getMessage());
--- a/src/main/java/org/quincecross/program/MeasureCommand.java
+++ b/src/main/java/org/quincecross/program/MeasureCommand.java
@@ -8,6 +8,8 @@
 import jdk.jfr.Configuration;
 import jdk.jfr.Recording;
 import org.quincecross.emulator.Measurement;
+import org.quincecross.emulator.OverloadDays;
+import org.quincecross.wire.Features;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
@@ -36,6 +38,20 @@
     @Option(names = "--seed", paramLabel = "N", defaultValue = "1", description = "which day (default: ${DEFAULT-VALUE})")
     private long seed;
 
+    @Option(names = "--day", paramLabel = "WHAT", defaultValue = "restart",
+            description = "restart: all controllers are restarted, and what it costs; overload: more work than can be done in time, and who "
+                    + "is served (default: ${DEFAULT-VALUE})")
+    private String day;
+
+    @Option(names = "--days", paramLabel = "N", defaultValue = "1", description = "overload: so many days, from that seed on (default: ${DEFAULT-VALUE})")
+    private int days;
+
+    @Option(names = "--with", paramLabel = "FILE", description = "switches on in all controllers what this file (JSON) names")
+    private Path with;
+
+    @Option(names = "--output", paramLabel = "FORM", defaultValue = "text", description = "overload: text or json (default: ${DEFAULT-VALUE})")
+    private String output;
+
     @Option(names = "--recording", paramLabel = "FILE", description = "writes a recording of the JDK's flight recorder here")
     private Path recording;
 
@@ -49,8 +65,32 @@
             case "mixed" -> Measurement.Kind.MIXED;
             default -> throw new ParameterException(spec.commandLine(), "--site: '" + site + "' is neither fleet nor mixed");
         };
+        if (!output.equals("text") && !output.equals("json")) {
+            throw new ParameterException(spec.commandLine(), "--output: '" + output + "' is neither text nor json");
+        }
         System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", "error");
-        Measurement day = new Measurement(kind, machines, seed);
+        Features features = SettingsFile.features(with);
+        return switch (day) {
+            case "restart" -> restart(new Measurement(kind, machines, seed, features));
+            case "overload" -> overload(kind, features);
+            default -> throw new ParameterException(spec.commandLine(), "--day: '" + day + "' is neither restart nor overload");
+        };
+    }
+
+    private int overload(Measurement.Kind kind, Features features) {
+        if (days < 1 || days > 10_000) {
+            throw new ParameterException(spec.commandLine(), "--days: " + days + " is not from 1 to 10000");
+        }
+        OverloadDays played = new OverloadDays(kind, machines, seed, days, features);
+        if (output.equals("json")) {
+            played.writeJson(System.out);
+        } else {
+            played.write(System.out);
+        }
+        return played.isSound() ? 0 : 1;
+    }
+
+    private int restart(Measurement day) throws IOException, ParseException {
         if (recording == null) {
             day.playUntil(seconds);
         } else {
--- a/src/main/java/org/quincecross/program/QuincecrossCommand.java
+++ b/src/main/java/org/quincecross/program/QuincecrossCommand.java
@@ -20,6 +20,9 @@
     @Option(names = "--config", paramLabel = "FILE", description = "the settings file (JSON) of this controller")
     private Path config;
 
+    @Option(names = "--with", paramLabel = "FILE", description = "switches on what this file (JSON) names, such as deploy/features.json")
+    private Path with;
+
     /** For the build alone, which makes the class-data archive from what is loaded here. */
     @Option(names = "--load-classes-and-exit", hidden = true)
     private boolean loadClasses;
@@ -33,6 +36,6 @@
         if (config == null) {
             throw new ParameterException(spec.commandLine(), "--config FILE is needed to serve");
         }
-        return Main.serve(config);
+        return Main.serve(config, with);
     }
 }
--- a/src/main/java/org/quincecross/program/Server.java
+++ b/src/main/java/org/quincecross/program/Server.java
@@ -10,6 +10,7 @@
 import org.quincecross.net.HttpClient;
 import org.quincecross.net.HttpServer;
 import org.quincecross.net.Loop;
+import org.quincecross.wire.Features;
 import org.quincecross.wire.Settings;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -21,9 +22,11 @@
     private static final int SOCKETS_KEPT = 120;
 
     private final Settings settings;
+    private final Features features;
 
-    Server(Settings settings) {
+    Server(Settings settings, Features features) {
         this.settings = settings;
+        this.features = features;
     }
 
     void run() throws IOException {
@@ -33,7 +36,7 @@
             peers.put(sibling.member(), new FrameSender(loop, sibling.endpoint()));
         }
         Controller controller = new Controller(loop, new HttpClient(loop), (to, frame) -> peers.get(to).send(frame),
-                settings, System::currentTimeMillis, new HeapWatch());
+                settings, features, System::currentTimeMillis, new HeapWatch());
         int sockets = settings.quota().sockets();
         new HttpServer(loop, settings.listen(), Math.max(sockets / 2, sockets - SOCKETS_KEPT), controller);
         new FrameServer(loop, settings.peerListen(), controller::frame);
--- a/src/main/java/org/quincecross/sched/Admission.java
+++ b/src/main/java/org/quincecross/sched/Admission.java
@@ -66,10 +66,13 @@
         private final Map<JobId, TaskSet> admitted = new LinkedHashMap<>();
         /** What services use. */
         private Resources standing = Resources.NONE;
+        private Resources gangs = Resources.NONE;
         private Set<JobId> declined = Set.of();
         private Rank admittedRank;
         private int gangTasks;
         private int bytes;
+        /** Whether it is kept, in this round, for a gang that does not fit yet. */
+        private boolean kept;
 
         /**
          * @param capacity of the machines that take work
@@ -121,6 +124,8 @@
             }
             if (job.shape() == Shape.SERVICE) {
                 standing = standing.plus(more);
+            } else if (job.shape() == Shape.GANG) {
+                gangs = gangs.plus(more);
             }
         }
 
@@ -140,6 +145,11 @@
             return room == null ? 3 : job.each().fitsIn(room.free()) ? 0 : job.each().fitsIn(room.free().plus(room.yielding())) ? 1 : 2;
         }
 
+        /** How much of it is used, by work of any priority. */
+        private double usedShare() {
+            return usedFrom(Rank.LOW).shareOf(capacity);
+        }
+
         private Resources usedFrom(Rank rank) {
             return usedFrom[rank.ordinal()];
         }
@@ -186,15 +196,46 @@
         }
     }
 
+    /** Where a job stands in the order of admission, beside others that are within their guarantee or not as it is. */
+    public enum Place {
+        /** Before those of any priority but the highest: it has a turn. */
+        TURN,
+        /** By priority and due time. */
+        IN_ORDER,
+        /** After those of its priority. */
+        SET_ASIDE
+    }
+
     /**
      * An open job with tasks in the pool.
      *
      * @param dueS seconds until it should be over; below 0, what is late already
      * @param hurried whether a fetch of its image would make it late
      * @param perZone how many of its tasks are in each zone
+     * @param place where it stands beside others of its priority
+     * @param order less is earlier, among those of its place
      */
     public record Demand(Job job, Revision accepted, double dueS, boolean guaranteed, boolean hurried, TaskSet pool,
-            Map<String, Integer> perZone) {
+            Map<String, Integer> perZone, Place place, double order) {
+
+        /** The same as two, the first of which has its turn for as many tasks; as it is where all or none have. */
+        public List<Demand> withTurn(int tasks) {
+            if (tasks <= 0) {
+                return List.of(this);
+            }
+            // Where the place of one task may change where the next may go, the job stays in one piece.
+            if (tasks >= pool.size() || job.spread() || job.oneZone()) {
+                return List.of(new Demand(job, accepted, dueS, guaranteed, hurried, pool, perZone, Place.TURN, order));
+            }
+            TaskSet rest = pool.copy();
+            TaskSet first = new TaskSet();
+            for (int index = pool.next(0); first.size() < tasks; index = pool.next(index + 1)) {
+                first.add(index);
+                rest.remove(index);
+            }
+            return List.of(new Demand(job, accepted, dueS, guaranteed, hurried, first, perZone, Place.TURN, order),
+                    new Demand(job, accepted, dueS, guaranteed, hurried, rest, perZone, place, order));
+        }
 
         /** Whether others are to make room for it: it must start at once, or it will be late. */
         boolean isPressed() {
@@ -226,6 +267,15 @@
         this.reserves = reserves;
     }
 
+    /** What the machines of some blocks have for arrays: what services and gangs do not use. */
+    public static Resources roomForArrays(Collection<Block> blocks) {
+        Resources room = Resources.NONE;
+        for (Block block : blocks) {
+            room = room.plus(block.capacity.minus(block.standing).minus(block.gangs).most(Resources.NONE));
+        }
+        return room;
+    }
+
     /** How often a block was looked at for a job: the work that was done. */
     public long looks() {
         return looks;
@@ -237,11 +287,13 @@
         order.sort(Comparator
                 .comparing((Demand demand) -> demand.job().rank() != Rank.PRODUCTION)
                 .thenComparing(demand -> !demand.guaranteed())
+                .thenComparing(demand -> demand.place() != Place.TURN)
                 .thenComparing(demand -> demand.job().rank(), Comparator.reverseOrder())
-                .thenComparing(demand -> demand.dueS() < 0)
-                .thenComparing(Demand::dueS)
+                .thenComparing(Demand::place)
+                .thenComparing(Demand::order)
                 .thenComparing(Demand::accepted)
                 .thenComparing(demand -> demand.job().id()));
+        blocks.forEach(block -> block.kept = false);
         List<Unmet> unmet = new ArrayList<>();
         for (Demand demand : order) {
             Map<String, Integer> perZone = new TreeMap<>(demand.perZone());
@@ -338,7 +390,7 @@
             boolean wastesGpus = job.each().gpus() == 0 && block.capacity.gpus() > 0;
             boolean waits = !job.each().fitsIn(block.free());
             // Work crowds together where it fits: machines that nobody needs fall idle and can go back.
-            this.unused = -block.usedFrom(Rank.LOW).shareOf(block.capacity);
+            this.unused = -block.usedShare();
             // What is hurried goes to its image first of all; for the rest a fetch is the lesser evil.
             int room = (entersReserve ? 4 : 0) + (wastesGpus ? 2 : 0) + (waits ? 1 : 0);
             int image = 2 * block.imageGrade(job) + (block.spot ? 0 : 1);
@@ -379,6 +431,9 @@
             }
         }
         if (best == null) {
+            if (demand.place() == Place.TURN) {
+                keepBlockFor(job);
+            }
             return isBad(declines(job)) ? 0 : job.tasks();
         }
         for (int index = 0; index < job.tasks(); index++) {
@@ -388,13 +443,30 @@
         return 0;
     }
 
+    /**
+     * A gang that has its turn and fits nowhere: small work would take for ever whatever becomes free, so one block takes nothing
+     * more, but for the highest priority, until the gang fits. It is the one that is used least: the next plan chooses it again.
+     */
+    private void keepBlockFor(Job job) {
+        Block least = null;
+        for (Block block : blocks) {
+            boolean could = !block.kept && mayGo(job, block, Map.of()) && block.machine.count(job.each()) * block.machines >= job.tasks();
+            if (could && (least == null || block.usedShare() < least.usedShare())) {
+                least = block;
+            }
+        }
+        if (least != null) {
+            least.kept = true;
+        }
+    }
+
     private static Comparator<Block> gangOrder(Demand demand) {
         Job job = demand.job();
         return Comparator.comparing((Block block) -> -Math.min(job.tasks(), block.placesNow(job)))
                 .thenComparing(block -> -Math.min(job.tasks(), block.placesSoon(job)))
                 .thenComparing(block -> new Choice(block, demand, false, 0).grade)
                 .thenComparing(block -> block.imageGrade(job))
-                .thenComparing(block -> block.usedFrom(Rank.LOW).shareOf(block.capacity))
+                .thenComparing(block -> block.usedShare())
                 .thenComparing(block -> block.id);
     }
 
@@ -430,7 +502,7 @@
     }
 
     private boolean hasRoom(Job job, int tasks, boolean mayPreempt, Block block) {
-        if (block.machines == 0 || block.bytes + block.bytesFor(job, tasks) > block.mostBytes) {
+        if (block.machines == 0 || block.kept && job.rank() != Rank.PRODUCTION || block.bytes + block.bytesFor(job, tasks) > block.mostBytes) {
             return false;
         }
         Resources capacity = job.shape() == Shape.ARRAY
--- /dev/null
+++ b/src/main/java/org/quincecross/served/ServedBooks.java
@@ -0,0 +1,249 @@
+package org.quincecross.served;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Function;
+import org.quincecross.model.Aim;
+import org.quincecross.model.Job;
+import org.quincecross.model.JobId;
+import org.quincecross.model.SteadyTime;
+
+/**
+ * Counts what each class of jobs of each team asked for and got. An event costs the same however many jobs there are; what is
+ * missed by jobs that are still open is counted when the books are read.
+ */
+public final class ServedBooks {
+    /** The jobs of one class of one team. */
+    public record Group(String team, String jobClass) implements Comparable<Group> {
+        @Override
+        public int compareTo(Group other) {
+            int byTeam = team.compareTo(other.team);
+            return byTeam != 0 ? byTeam : jobClass.compareTo(other.jobClass);
+        }
+    }
+
+    /** Met and missed, of an aim. */
+    private static final class Tally {
+        private int met;
+        private int missed;
+
+        void add(Tally other) {
+            met += other.met;
+            missed += other.missed;
+        }
+    }
+
+    /** What is counted for a group. */
+    private static final class Count {
+        private int jobs;
+        private int ended;
+        private int tasks;
+        private int started;
+        private int heldBack;
+        /** Jobs with tasks that have not been started yet. */
+        private int waiting;
+        private double starvedS;
+        private SteadyTime hungrySince;
+        private final Map<String, Tally> aims = new LinkedHashMap<>();
+
+        /** Aims of one name are counted together: each job's deadline is another length of time. */
+        Tally tally(String aim) {
+            return aims.computeIfAbsent(aim, a -> new Tally());
+        }
+
+        /** Some work waits from now on, or is waited for no longer, or has just been served. */
+        void hungry(SteadyTime now, boolean served) {
+            if (hungrySince != null && (served || waiting == 0)) {
+                starvedS = Math.max(starvedS, now.since(hungrySince).seconds());
+                hungrySince = null;
+            }
+            if (waiting > 0 && hungrySince == null) {
+                hungrySince = now;
+            }
+        }
+
+        void add(Count other, SteadyTime now) {
+            jobs += other.jobs;
+            ended += other.ended;
+            tasks += other.tasks;
+            started += other.started;
+            heldBack += other.heldBack;
+            starvedS = Math.max(starvedS, other.starvedS);
+            if (other.hungrySince != null) {
+                starvedS = Math.max(starvedS, now.since(other.hungrySince).seconds());
+            }
+            other.aims.forEach((aim, tally) -> tally(aim).add(tally));
+        }
+    }
+
+    /** A job that is not over. */
+    private static final class Open {
+        private final Count count;
+        private final int tasks;
+        private final SteadyTime accepted;
+        private final List<Aim> aims;
+        private int started;
+        private int heldBack;
+
+        Open(Count count, int tasks, SteadyTime accepted, List<Aim> aims) {
+            this.count = count;
+            this.tasks = tasks;
+            this.accepted = accepted;
+            this.aims = aims;
+        }
+
+        boolean isPast(Aim aim, SteadyTime now) {
+            return now.since(accepted).isMoreThan(aim.within());
+        }
+    }
+
+    private final Function<Job, List<Aim>> aims;
+    private final Map<Group, Count> counts = new TreeMap<>();
+    private final Map<JobId, Open> open = new HashMap<>();
+
+    /** @param aims what is expected of a job */
+    public ServedBooks(Function<Job, List<Aim>> aims) {
+        this.aims = aims;
+    }
+
+    /** A job was accepted: once for each job, later calls change nothing. */
+    public void accepted(Job job, SteadyTime at) {
+        if (open.containsKey(job.id())) {
+            return;
+        }
+        Count count = counts.computeIfAbsent(new Group(job.team(), job.jobClass()), group -> new Count());
+        open.put(job.id(), new Open(count, job.tasks(), at, aims.apply(job)));
+        count.jobs++;
+        count.tasks += job.tasks();
+        count.waiting++;
+        count.hungry(at, false);
+    }
+
+    /** So many tasks of a job have been started or have ended so far: what is no news changes nothing. */
+    public void started(JobId id, int tasks, SteadyTime now) {
+        Open job = open.get(id);
+        if (job == null || tasks <= job.started) {
+            return;
+        }
+        int more = Math.min(tasks, job.tasks) - job.started;
+        job.started += more;
+        job.count.started += more;
+        for (Aim aim : job.aims) {
+            if (aim.of() == Aim.Of.EACH_START) {
+                Tally tally = job.count.tally(aim.name());
+                if (job.isPast(aim, now)) {
+                    tally.missed += more;
+                } else {
+                    tally.met += more;
+                }
+            }
+        }
+        if (job.started == job.tasks) {
+            job.count.waiting--;
+        }
+        job.count.hungry(now, true);
+    }
+
+    /** So many tasks of an open job cannot be started now, because its team is at its limit. */
+    public void heldBack(JobId id, int tasks) {
+        Open job = open.get(id);
+        if (job != null) {
+            job.count.heldBack += tasks - job.heldBack;
+            job.heldBack = tasks;
+        }
+    }
+
+    /** A job is done. */
+    public void done(JobId id, SteadyTime now) {
+        Open job = open.get(id);
+        if (job == null) {
+            return;
+        }
+        heldBack(id, 0);
+        started(id, job.tasks, now);
+        open.remove(id);
+        job.count.ended++;
+        for (Aim aim : job.aims) {
+            if (aim.of() == Aim.Of.END) {
+                Tally tally = job.count.tally(aim.name());
+                if (job.isPast(aim, now)) {
+                    tally.missed++;
+                } else {
+                    tally.met++;
+                }
+            }
+        }
+    }
+
+    /** A job's user does not want it any more: what it did not get is nobody's fault. */
+    public void cancelled(JobId id, SteadyTime now) {
+        heldBack(id, 0);
+        Open job = open.remove(id);
+        if (job == null) {
+            return;
+        }
+        job.count.jobs--;
+        job.count.tasks -= job.tasks - job.started;
+        if (job.started < job.tasks) {
+            job.count.waiting--;
+        }
+        job.count.hungry(now, false);
+    }
+
+    /** How many jobs are known that are not over: what the books hold in memory. */
+    public int openJobs() {
+        return open.size();
+    }
+
+    /** The ids of the jobs that are not over. */
+    public Collection<JobId> openIds() {
+        return open.keySet();
+    }
+
+    /** How each class of each team has been served so far. */
+    public Map<Group, Served> groups(SteadyTime now) {
+        return by(group -> group, now);
+    }
+
+    /** How each team has been served so far. */
+    public Map<String, Served> teams(SteadyTime now) {
+        return by(Group::team, now);
+    }
+
+    /** How each class has been served so far. */
+    public Map<String, Served> classes(SteadyTime now) {
+        return by(Group::jobClass, now);
+    }
+
+    private <K> Map<K, Served> by(Function<Group, K> key, SteadyTime now) {
+        Map<Count, Count> late = new HashMap<>();
+        for (Open job : open.values()) {
+            Count count = late.computeIfAbsent(job.count, c -> new Count());
+            for (Aim aim : job.aims) {
+                if (job.isPast(aim, now)) {
+                    count.tally(aim.name()).missed += aim.of() == Aim.Of.END ? 1 : job.tasks - job.started - job.heldBack;
+                }
+            }
+        }
+        Map<K, Count> sums = new TreeMap<>();
+        counts.forEach((group, count) -> {
+            Count sum = sums.computeIfAbsent(key.apply(group), k -> new Count());
+            sum.add(count, now);
+            if (late.containsKey(count)) {
+                sum.add(late.get(count), now);
+            }
+        });
+        Map<K, Served> served = new TreeMap<>();
+        sums.forEach((each, sum) -> {
+            List<Served.Met> met = new ArrayList<>();
+            sum.aims.forEach((aim, tally) -> met.add(new Served.Met(aim, tally.met, tally.missed)));
+            served.put(each, new Served(sum.jobs, sum.ended, sum.tasks, sum.started, sum.tasks - sum.heldBack, met, sum.starvedS));
+        });
+        return served;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/quincecross/wire/Features.java
@@ -0,0 +1,64 @@
+package org.quincecross.wire;
+
+import java.util.List;
+import java.util.Map;
+import org.quincecross.model.Span;
+import org.quincecross.overload.Shares;
+
+/**
+ * What is switched on beyond the core, by a file under {@code deploy/}; the same file for all controllers.
+ *
+ * @param overload how work is ordered when there is too much of it; null: by due time alone
+ * @param servedEvery how often it is logged who was served; null: it is not counted
+ */
+public record Features(Shares overload, Span servedEvery) {
+    public static final Features NONE = new Features(null, null);
+    private static final double LEAST_LOG_S = 1;
+    private static final double MOST_LOG_S = 86_400;
+
+    /** Reads the file; unknown names are refused, for a misspelt one would be off without anybody noticing. */
+    public static Features read(byte[] bytes) throws BadMessage {
+        Object value = Json.parse(bytes);
+        Fields in = Fields.of(value, "the features");
+        known(value, "the features", List.of("overload", "served"));
+        Shares overload = null;
+        if (in.has("overload")) {
+            known(in.raw("overload"), "overload", List.of("usable", "coming", "floor", "turns"));
+            Fields each = in.fields("overload");
+            overload = new Shares(share(each, "usable", Shares.DEFAULTS.usable()), share(each, "coming", Shares.DEFAULTS.coming()),
+                    share(each, "floor", Shares.DEFAULTS.floor()),
+                    share(each, "turns", Shares.DEFAULTS.turns()));
+            if (overload.usable() == 0 || overload.coming() > 0.9 || overload.floor() + overload.turns() > 0.5) {
+                throw new BadMessage("overload: usable is to be above 0, coming at most 0.9, and floor and turns together at most 0.5");
+            }
+        }
+        Span served = null;
+        if (in.has("served")) {
+            known(in.raw("served"), "served", List.of("log_every_s"));
+            double every = in.fields("served").positive("log_every_s");
+            if (every < LEAST_LOG_S || every > MOST_LOG_S) {
+                throw new BadMessage("field log_every_s of served is not from 1 to 86400");
+            }
+            served = Span.ofSeconds(every);
+        }
+        return new Features(overload, served);
+    }
+
+    private static double share(Fields in, String name, double otherwise) throws BadMessage {
+        double share = in.has(name) ? in.amount(name) : otherwise;
+        if (share > 1) {
+            throw new BadMessage("field " + name + " of overload is more than 1");
+        }
+        return share;
+    }
+
+    private static void known(Object value, String where, List<String> names) throws BadMessage {
+        if (value instanceof Map<?, ?> map) {
+            for (Object name : map.keySet()) {
+                if (!names.contains(name)) {
+                    throw new BadMessage("unknown name " + name + " in " + where);
+                }
+            }
+        }
+    }
+}
--- a/src/main/java/org/quincecross/wire/Settings.java
+++ b/src/main/java/org/quincecross/wire/Settings.java
@@ -1,10 +1,14 @@
 package org.quincecross.wire;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
+import org.quincecross.model.Aim;
 import org.quincecross.model.Endpoint;
+import org.quincecross.model.Job;
 import org.quincecross.model.MemberId;
 import org.quincecross.model.Resources;
 import org.quincecross.model.Span;
@@ -61,6 +65,39 @@
         return least;
     }
 
+    /** What is expected of a job: its deadline, and what the objectives say of its class; the soonest first. */
+    public List<Aim> aims(Job job) {
+        return aims(objectives, job);
+    }
+
+    /** What {@code objectives} and its own deadline expect of a job, the soonest first. */
+    public static List<Aim> aims(List<Objective> objectives, Job job) {
+        List<Aim> aims = new ArrayList<>();
+        boolean ownDeadline = job.deadline() != null;
+        for (Objective objective : objectives) {
+            if (!job.jobClass().equals(objective.jobClass())) {
+                continue;
+            }
+            if (objective.within() != null) {
+                boolean start = objective.kind().equals("wait");
+                aims.add(new Aim(String.format(Locale.ROOT, "%s %.0f s", objective.kind(), objective.within().seconds()),
+                        start ? Aim.Of.EACH_START : Aim.Of.END, objective.within()));
+            } else if (job.deadline() != null) {
+                ownDeadline &= objective.times() != 1;
+                aims.add(deadline(job, objective.times()));
+            }
+        }
+        if (ownDeadline) {
+            aims.add(deadline(job, 1));
+        }
+        aims.sort(Comparator.comparing(Aim::within));
+        return aims;
+    }
+
+    private static Aim deadline(Job job, double times) {
+        return new Aim(String.format(Locale.ROOT, "deadline %.2fx", times), Aim.Of.END, job.deadline().times(times));
+    }
+
     public static Settings read(byte[] bytes) throws BadMessage {
         Fields in = Fields.of(Json.parse(bytes), "the settings");
         Fields external = in.fields("external");
--- a/src/test/java/org/quincecross/sched/AdmissionTest.java
+++ b/src/test/java/org/quincecross/sched/AdmissionTest.java
@@ -59,7 +59,7 @@
                 for (int i = 0; i < job.tasks(); i++) {
                     all.add(i);
                 }
-                demands.add(new Admission.Demand(job, new Revision(1), 100, false, job.tasks() % 2 == 0, all, Map.of()));
+                demands.add(new Admission.Demand(job, new Revision(1), 100, false, job.tasks() % 2 == 0, all, Map.of(), Admission.Place.IN_ORDER, 100));
             }
         }
         byId.clear();
@@ -126,6 +126,6 @@
 
     private static List<Admission.Unmet> admit(Job job, List<Admission.Block> blocks) {
         return new Admission(blocks, Map.of("t", TEAM), Map.of(), Map.of()).run(List.of(
-                new Admission.Demand(job, new Revision(1), 100, false, false, TaskSet.below(1), Map.of())));
+                new Admission.Demand(job, new Revision(1), 100, false, false, TaskSet.below(1), Map.of(), Admission.Place.IN_ORDER, 100)));
     }
 }
--- /dev/null
+++ b/src/test/java/org/quincecross/served/ServedBooksTest.java
@@ -0,0 +1,152 @@
+package org.quincecross.served;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.quincecross.model.Aim;
+import org.quincecross.model.Job;
+import org.quincecross.model.JobId;
+import org.quincecross.model.Rank;
+import org.quincecross.model.Resources;
+import org.quincecross.model.Shape;
+import org.quincecross.model.Span;
+import org.quincecross.model.SteadyTime;
+
+class ServedBooksTest {
+    private static final Aim START = new Aim("wait 10 s", Aim.Of.EACH_START, Span.ofSeconds(10));
+    private static final Aim END = new Aim("deadline 1.00x", Aim.Of.END, Span.ofSeconds(40));
+
+    private static SteadyTime at(double seconds) {
+        return new SteadyTime((long) (seconds * 1e9));
+    }
+
+    private static Job job(int number, String team, String jobClass, int tasks) {
+        return new Job(new JobId("job-" + number), jobClass, team, Shape.ARRAY, Rank.NORMAL, tasks, new Resources(1, 0, 1), null, null, false,
+                false, false, "i", 1, Span.ZERO, Span.ZERO, Span.ZERO, null);
+    }
+
+    /** What really happened to a job. */
+    private static final class Story {
+        private final Job job;
+        private final double accepted;
+        private final List<Double> starts = new ArrayList<>();
+        private double done = -1;
+        private boolean cancelled;
+
+        Story(Job job, double accepted) {
+            this.job = job;
+            this.accepted = accepted;
+        }
+    }
+
+    /** After any sequence of events the books say what a recount of all that happened says. */
+    @Property(tries = 200, seed = "7")
+    void theBooksAgreeWithARecount(@ForAll Random random) {
+        ServedBooks books = new ServedBooks(job -> List.of(START, END));
+        Map<Integer, Story> stories = new LinkedHashMap<>();
+        double now = 0;
+        for (int step = 0; step < 150; step++) {
+            now += random.nextDouble() * 4;
+            int number = random.nextInt(25);
+            Story story = stories.get(number);
+            if (story == null) {
+                Job job = job(number, "t" + random.nextInt(3), "c" + random.nextInt(2), 1 + random.nextInt(6));
+                stories.put(number, new Story(job, now));
+                books.accepted(job, at(now));
+                books.accepted(job, at(now + 1)); // told twice
+            } else if (story.done < 0 && !story.cancelled) {
+                int what = random.nextInt(5);
+                if (what == 0) {
+                    books.cancelled(story.job.id(), at(now));
+                    story.cancelled = true;
+                } else if (what == 1) {
+                    books.done(story.job.id(), at(now));
+                    while (story.starts.size() < story.job.tasks()) {
+                        story.starts.add(now);
+                    }
+                    story.done = now;
+                } else {
+                    int reached = random.nextInt(story.job.tasks() + 1);
+                    books.started(story.job.id(), reached, at(now));
+                    while (story.starts.size() < reached) {
+                        story.starts.add(now);
+                    }
+                }
+            }
+        }
+        for (Map.Entry<ServedBooks.Group, Served> group : books.groups(at(now)).entrySet()) {
+            assertEquals(recount(stories, group.getKey(), now), group.getValue().aims().toString() + group.getValue().jobs() + "/"
+                    + group.getValue().ended() + "/" + group.getValue().started() + "/" + group.getValue().tasks());
+        }
+        int started = stories.values().stream().mapToInt(story -> story.starts.size()).sum();
+        assertEquals(started, books.teams(at(now)).values().stream().mapToInt(Served::started).sum());
+        assertEquals(started, books.classes(at(now)).values().stream().mapToInt(Served::started).sum());
+    }
+
+    private static String recount(Map<Integer, Story> stories, ServedBooks.Group group, double now) {
+        int[] start = new int[2];
+        int[] end = new int[2];
+        int jobs = 0;
+        int ended = 0;
+        int started = 0;
+        int tasks = 0;
+        for (Story story : stories.values()) {
+            if (!story.job.team().equals(group.team()) || !story.job.jobClass().equals(group.jobClass())) {
+                continue;
+            }
+            started += story.starts.size();
+            tasks += story.cancelled ? story.starts.size() : story.job.tasks();
+            jobs += story.cancelled ? 0 : 1;
+            for (double each : story.starts) {
+                start[each - story.accepted > 10 ? 1 : 0]++;
+            }
+            boolean open = story.done < 0 && !story.cancelled;
+            if (open && now - story.accepted > 10) {
+                start[1] += story.job.tasks() - story.starts.size();
+            }
+            if (story.done >= 0) {
+                ended++;
+                end[story.done - story.accepted > 40 ? 1 : 0]++;
+            } else if (open && now - story.accepted > 40) {
+                end[1]++;
+            }
+        }
+        List<Served.Met> met = new ArrayList<>();
+        if (start[0] + start[1] > 0) {
+            met.add(new Served.Met(START.name(), start[0], start[1]));
+        }
+        if (end[0] + end[1] > 0) {
+            met.add(new Served.Met(END.name(), end[0], end[1]));
+        }
+        return met.toString() + jobs + "/" + ended + "/" + started + "/" + tasks;
+    }
+
+    /** The longest time with work waiting and nothing served; what waits at its team's limit could not have been started. */
+    @Example
+    void starvationAndLimits() {
+        ServedBooks books = new ServedBooks(job -> List.of(START));
+        Job first = job(1, "t", "c", 4);
+        books.accepted(first, at(0));
+        books.started(first.id(), 1, at(5));
+        books.started(first.id(), 2, at(30));
+        assertEquals(25, books.teams(at(31)).get("t").starvedS());
+        assertEquals(70, books.teams(at(100)).get("t").starvedS());
+        books.heldBack(first.id(), 2);
+        Served served = books.teams(at(100)).get("t");
+        assertEquals(2, served.startable());
+        assertEquals(1, served.startedShare());
+        assertEquals(0.5, served.least());
+        books.started(first.id(), 4, at(101));
+        books.heldBack(first.id(), 0);
+        books.done(first.id(), at(200));
+        assertEquals(71, books.teams(at(300)).get("t").starvedS());
+        assertEquals(0, books.openJobs());
+    }
+}
--- /dev/null
+++ b/src/test/java/org/quincecross/wire/FeaturesTest.java
@@ -0,0 +1,35 @@
+package org.quincecross.wire;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.quincecross.overload.Shares;
+
+class FeaturesTest {
+    private static Features read(String json) throws BadMessage {
+        return Features.read(json.getBytes(StandardCharsets.UTF_8));
+    }
+
+    @Test
+    void whatIsNotNamedIsOff() throws BadMessage {
+        assertEquals(Features.NONE, read("{}"));
+        assertEquals(Shares.DEFAULTS, read("{\"overload\": {}}").overload());
+        assertNull(read("{\"overload\": {}}").servedEvery());
+        assertEquals(0.2, read("{\"overload\": {\"floor\": 0.2}}").overload().floor());
+        assertEquals(60, read("{\"served\": {\"log_every_s\": 60}}").servedEvery().seconds());
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", "[]", "3", "{\"overlaod\": {}}", "{\"overload\": 1}", "{\"overload\": {\"flor\": 0.1}}",
+        "{\"overload\": {\"floor\": -0.1}}", "{\"overload\": {\"floor\": 0.4, \"turns\": 0.2}}", "{\"overload\": {\"usable\": 0}}",
+        "{\"overload\": {\"usable\": 2}}", "{\"overload\": {\"coming\": \"a\"}}", "{\"served\": {}}", "{\"served\": {\"log_every_s\": 0.5}}",
+        "{\"served\": {\"log_every_s\": 1e6}}"})
+    void whatIsWrongIsRefused(String json) {
+        assertThrows(BadMessage.class, () -> read(json));
+    }
+}
