Rolling out, begun: levels of the stored state, a switch that all must be able to do, the way back

Need: controllers are replaced one by one with a change of the stored state, and a record that a controller could not read was skipped.

Change: org.quincecross.rollout (pure), the level's record, members that announce what they can do, one guarded transaction that raises or lowers the level, another place for the leadership so that builds from before levels never lead, a named state for who cannot take part, allocations written as what changed from level 2 on. Off: no features file names it.

An emulator that waited for a rest of less than a nanosecond without moving its clock is mended.

--- a/src/main/java/org/quincecross/admin/AdminApi.java
+++ b/src/main/java/org/quincecross/admin/AdminApi.java
@@ -93,10 +93,17 @@
 
     private Object status() {
         List<Object> members = new ArrayList<>();
-        ledger.members().keySet().forEach(member -> members.add(member.text()));
+        List<Object> builds = new ArrayList<>();
+        ledger.members().values().forEach(member -> {
+            members.add(member.member().text());
+            builds.add(Json.object("member", member.member().text(), "build", member.build().name(), "least_level", member.build().least().number(),
+                    "most_level", member.build().most().number()));
+        });
         return Json.object("membership", membership.state().toString(), "life", membership.life().number(),
                 "role", leader.state().toString(), "leader", ledger.leader() == null ? null : ledger.leader().member().text(),
-                "members", members, "revision", ledger.revision().number(),
+                "members", members, "builds", builds, "unable", membership.unable(), "level", ledger.level().level().number(),
+                "level_since", ledger.level().version().number(), "level_state", leader.isLeading() ? leader.levels().decision().state().toString() : null,
+                "level_waits_for", leader.isLeading() ? leader.levels().decision().why() : null, "revision", ledger.revision().number(),
                 "unconfirmed_ms", follower.confirmed() == null ? null : timers.now().since(follower.confirmed()).millis(),
                 "jobs", ledger.jobCount(), "blocks", ledger.blocks().size(), "blocks_held", holdings.all().size(),
                 "stalled", stalls.write(), "served", served == null ? null : served.write(),
@@ -143,14 +150,7 @@
 
     /** The operators' settings as the ledger has them. */
     public static OperatorSettings settings(Ledger ledger) {
-        if (ledger.operatorSettings() == null) {
-            return OperatorSettings.DEFAULTS;
-        }
-        try {
-            return OperatorSettings.read(ledger.operatorSettings(), OperatorSettings.DEFAULTS);
-        } catch (BadMessage e) {
-            return OperatorSettings.DEFAULTS; // written by a later version: better to go on than to guess
-        }
+        return ledger.operatorSettingsOrDefaults();
     }
 
     private Object settings() {
--- a/src/main/java/org/quincecross/api/Controller.java
+++ b/src/main/java/org/quincecross/api/Controller.java
@@ -98,7 +98,7 @@
         this.settings = settings;
         StateClient client = new StateClient(timers, http, settings.state(), settings.stateLimits());
         follower = new Follower(timers, client, ledger);
-        membership = new Membership(timers, client, settings.member(), settings.zone());
+        membership = new Membership(timers, client, settings.member(), settings.zone(), features.build());
         holdings = new Holdings(this, settings.member(), membership::life);
         fleet = new Fleet(timers, http, ledger, settings, foresight, membership::life,
                 () -> AdminApi.settings(ledger));
@@ -126,6 +126,7 @@
     }
 
     public void start() {
+        ledger.listen(changes -> membership.ledgerChanged(ledger));
         ledger.listen(holdings::ledgerChanged);
         ledger.listen(cancellations::ledgerChanged);
         ledger.listen(this::forgetFormerHolders);
@@ -233,7 +234,10 @@
     }
 
     private void route(HttpRequest request, String path, Consumer<HttpResponse> reply) {
-        if (path.equals(WorkerCodec.BEAT)) {
+        boolean unable = !membership.unable().isEmpty();
+        if (unable && (path.equals(WorkerCodec.BEAT) || path.startsWith(JobCodec.JOBS))) {
+            reply.accept(HttpResponse.of(503, JobCodec.error("this controller cannot take part")));
+        } else if (path.equals(WorkerCodec.BEAT)) {
             if (request.method().equals("POST")) {
                 agents.beat(request.body(), reply);
             } else {
@@ -255,7 +259,7 @@
      * nobody can, staying in keeps users' way back open for the moment that the state service returns.
      */
     private boolean isHealthy() {
-        if (!ledger.isLoaded()) {
+        if (!ledger.isLoaded() || !membership.unable().isEmpty()) {
             return false;
         }
         if (!timers.now().since(follower.confirmed()).isMoreThan(UNHEALTHY)) {
@@ -326,7 +330,7 @@
     @Override
     public boolean isEntitled() {
         SteadyTime confirmed = confirmed();
-        return confirmed != null && !timers.now().since(confirmed).isMoreThan(longestUnconfirmed);
+        return confirmed != null && membership.unable().isEmpty() && !timers.now().since(confirmed).isMoreThan(longestUnconfirmed);
     }
 
     @Override
--- a/src/main/java/org/quincecross/emulator/StateService.java
+++ b/src/main/java/org/quincecross/emulator/StateService.java
@@ -13,6 +13,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.function.Consumer;
 import org.quincecross.http.HttpRequest;
 import org.quincecross.http.HttpResponse;
@@ -278,6 +279,24 @@
     }
 
     /** The one place where a key changes. */
+    /** The value of a key, or null. */
+    Object value(String key) {
+        Value value = keys.get(key);
+        return value == null ? null : value.value();
+    }
+
+    /** The keys under a prefix. */
+    Set<String> under(String under) {
+        return new TreeSet<>(keys.keySet().stream().filter(key -> key.startsWith(under)).toList());
+    }
+
+    /** Something else than a controller writes a key, or deletes it. */
+    void write(String key, Object value) {
+        epoch++;
+        change(key, value, 100, 0);
+        wakeWatches();
+    }
+
     private void change(String key, Object value, int bytes, long hold) {
         Value before = value == null ? keys.remove(key) : keys.put(key, new Value(value, bytes, epoch, hold));
         if (before != null && holds.containsKey(before.hold())) {
--- a/src/main/java/org/quincecross/emulator/VirtualTime.java
+++ b/src/main/java/org/quincecross/emulator/VirtualTime.java
@@ -44,7 +44,8 @@
     void whenAwake(Life life, Runnable action) {
         double still = life.standsStillFor(seconds());
         if (still > 0) {
-            after(still, () -> whenAwake(life, action));
+            // A rest of less than the clock's step would be waited for without the time moving on.
+            after(Math.max(still, 1e-9), () -> whenAwake(life, action));
         } else if (life.isAlive()) {
             action.run();
         }
--- a/src/main/java/org/quincecross/emulator/World.java
+++ b/src/main/java/org/quincecross/emulator/World.java
@@ -1,5 +1,6 @@
 package org.quincecross.emulator;
 
+import java.util.Arrays;
 import java.util.Collections;
 import java.util.List;
 import java.util.Map;
@@ -14,6 +15,7 @@
 import org.quincecross.model.Job;
 import org.quincecross.model.JobId;
 import org.quincecross.model.Team;
+import org.quincecross.rollout.Build;
 import org.quincecross.wire.BadMessage;
 import org.quincecross.wire.Features;
 import org.quincecross.wire.Fields;
@@ -29,7 +31,7 @@
 
     private final VirtualTime time = new VirtualTime();
     private final Site site;
-    private final Features features;
+    private final Features[] features;
     private final Random random;
     private final VirtualNet net;
     private final Surroundings around;
@@ -54,7 +56,8 @@
     /** @param features what is switched on in all controllers */
     World(Site site, long seed, Meter meter, Features features) {
         this.site = site;
-        this.features = features;
+        this.features = new Features[site.nodes()];
+        Arrays.fill(this.features, features);
         this.meter = meter;
         random = new Random(seed);
         net = new VirtualNet(time, random);
@@ -162,7 +165,7 @@
                         time.whenAwake(lives[other], () -> meter.run("peer report", () -> to.frame(frame)));
                     });
                     return true;
-                }, site.settings(node, nodes, nodes, CLOUD, STATE), features, () -> (long) ((time.seconds() + clockAheadS) * 1000), () -> memoryIsShort);
+                }, site.settings(node, nodes, nodes, CLOUD, STATE), features[node], () -> (long) ((time.seconds() + clockAheadS) * 1000), () -> memoryIsShort);
         meter.run("start", controllers[node]::start);
     }
 
@@ -173,6 +176,23 @@
         }
     }
 
+    /** A controller has another build from its next start on. */
+    void install(int node, Build build) {
+        features[node] = new Features(features[node].overload(), features[node].servedEvery(), build);
+    }
+
+    /** A controller is replaced by one of another build: it ends, and the other is started. */
+    void roll(int node, Build build) {
+        install(node, build);
+        crash(node);
+    }
+
+    /** A controller is down for some time. */
+    void down(int node, double seconds) {
+        lives[node].end();
+        time.after(seconds, () -> startNode(node));
+    }
+
     /** A controller stands still for a while: its clocks run on, and what comes waits. */
     void standStill(int node, double seconds) {
         lives[node].standStill(time.seconds() + seconds);
@@ -207,6 +227,11 @@
         net.cut(one, other, time.seconds() + seconds, lose);
     }
 
+    /** Asks a controller that is up, without the way there. */
+    void ask(int node, HttpRequest request, Consumer<HttpResponse> reply) {
+        controllers[node].handle(request, reply);
+    }
+
     /** What a controller's status says; null where it is down. */
     Fields status(int node) {
         Fields[] status = new Fields[1];
--- /dev/null
+++ b/src/main/java/org/quincecross/leader/Allocations.java
@@ -0,0 +1,62 @@
+package org.quincecross.leader;
+
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import org.quincecross.model.BlockId;
+import org.quincecross.model.JobId;
+import org.quincecross.model.TaskSet;
+import org.quincecross.rollout.Feature;
+import org.quincecross.state.Allocation;
+import org.quincecross.state.AllocationChange;
+import org.quincecross.state.Keys;
+import org.quincecross.state.Ledger;
+import org.quincecross.wire.Json;
+
+/** Writes which tasks a block has: whole, or from level 2 on what has changed since it was last written whole. */
+final class Allocations {
+    /** A change larger than this part of the whole record is not worth having beside it. */
+    private static final double LARGEST_CHANGE = 0.5;
+
+    private final Ledger ledger;
+    private final BooleanSupplier wholeOnly;
+
+    /** @param wholeOnly whether no changes are to be written, for a level is to come that does not have them */
+    Allocations(Ledger ledger, BooleanSupplier wholeOnly) {
+        this.ledger = ledger;
+        this.wholeOnly = wholeOnly;
+    }
+
+    /** Adds the write to a transaction; false if there is no room for it. */
+    boolean put(TxnPlan plan, BlockId id, Map<JobId, TaskSet> next) {
+        Map<String, Object> whole = Allocation.write(next);
+        String changeKey = Keys.changedAllocation(id);
+        if (!wholeOnly.getAsBoolean() && Feature.ALLOCATION_CHANGES.isIn(ledger.level().level()) && ledger.wholeAllocation(id).version().number() != 0) {
+            Map<String, Object> change = AllocationChange.write(ledger.wholeAllocation(id), next);
+            if (Json.write(change).length < LARGEST_CHANGE * Json.write(whole).length) {
+                plan.guard(Keys.allocation(id)); // a change of another whole record says nothing
+                return plan.put(changeKey, change);
+            }
+        }
+        return putWhole(plan, id, next);
+    }
+
+    /** Writes it whole: at any level it can be read so. */
+    boolean putWhole(TxnPlan plan, BlockId id, Map<JobId, TaskSet> next) {
+        String changeKey = Keys.changedAllocation(id);
+        Map<String, Object> whole = Allocation.write(next);
+        boolean hasChange = ledger.version(changeKey).number() != 0;
+        if (hasChange && plan.room() < 2) {
+            return false;
+        }
+        return plan.put(Keys.allocation(id), whole) && (!hasChange || plan.delete(changeKey));
+    }
+
+    /** Deletes what is written of a block; the caller has seen that there is room for {@link #deletes} changes. */
+    void delete(TxnPlan plan, BlockId id) {
+        for (String key : new String[] {Keys.allocation(id), Keys.changedAllocation(id)}) {
+            if (ledger.version(key).number() != 0) {
+                plan.delete(key);
+            }
+        }
+    }
+}
--- a/src/main/java/org/quincecross/leader/Leader.java
+++ b/src/main/java/org/quincecross/leader/Leader.java
@@ -95,6 +95,8 @@
     private final Map<BlockId, SteadyTime> writtenAt = new HashMap<>();
     private final FreshViews fresh;
     private final Leases leases;
+    private final Allocations allocations;
+    private final LevelSwitch levels;
     private final Results results;
     private State state = State.FOLLOWING;
     private boolean writing;
@@ -126,7 +128,9 @@
         this.views = views;
         this.books = new Books(ledger);
         this.fresh = new FreshViews(timers, ledger, views);
-        this.leases = new Leases(timers, ledger, settings, fleet, foresight, books, fresh);
+        this.levels = new LevelSwitch(ledger, settings, membership);
+        this.allocations = new Allocations(ledger, levels::isLowering);
+        this.leases = new Leases(timers, ledger, settings, fleet, foresight, books, fresh, allocations);
         this.results = new Results(timers, ledger, views, books);
         this.overload = overload;
         this.demands = new Demands(ledger, settings, books, clockMs, overload);
@@ -288,7 +292,7 @@
             follower.barrier(this::stepIf);
             return;
         }
-        if (!leadsByLedger()) {
+        if (!membership.unable().isEmpty() || !leadsByLedger()) {
             enter(State.FOLLOWING);
             client.lead(false);
             leases.forgetNewcomers();
@@ -312,8 +316,8 @@
 
     private void stand() {
         enter(State.STANDING);
-        write(List.of(new Guard(Keys.LEADER, Revision.NONE), membership.alive(ledger)),
-                List.of(new Change(Keys.LEADER, membership.record(), membership.life())), true);
+        write(List.of(new Guard(ledger.leaderKey(), Revision.NONE), new Guard(Keys.LEVEL, ledger.level().version()), membership.alive(ledger)),
+                List.of(new Change(ledger.leaderKey(), membership.record(), membership.life())), true);
     }
 
     /**
@@ -321,8 +325,8 @@
      * what would be decided now. Writing the leadership anew makes its guards fail from here on.
      */
     private void mend() {
-        write(List.of(new Guard(Keys.LEADER, ledger.version(Keys.LEADER))),
-                List.of(new Change(Keys.LEADER, membership.record(), membership.life())), true);
+        String key = ledger.leaderKey();
+        write(List.of(new Guard(key, ledger.version(key))), List.of(new Change(key, membership.record(), membership.life())), true);
     }
 
     private void write(List<Guard> guards, List<Change> changes, boolean urgent) {
@@ -374,8 +378,14 @@
             again();
             return;
         }
+        if (levels.look(timers.now())) {
+            write(levels.guards(), levels.changes(), true);
+            return;
+        }
         TxnPlan plan = new TxnPlan(ledger, changes, settings.stateLimits().valueBytes() - VALUE_MARGIN);
-        plan.guard(Keys.LEADER);
+        plan.guard(ledger.leaderKey());
+        // What is decided by the level's features is of no use under another level.
+        plan.guard(Keys.LEVEL);
         planTypes(plan);
         Set<BlockId> leased = leases.plan(plan);
         // Neither results nor starts may crowd the other out of a small budget.
@@ -390,6 +400,7 @@
         }
         if (plan.isEmpty()) {
             planSweep(plan);
+            waits |= planMigration(plan);
         }
         full = plan.room() < 1;
         waits |= full || !completed.isEmpty();
@@ -409,6 +420,22 @@
         ledger.spentBundles().stream().sorted().limit(plan.room()).forEach(plan::delete);
     }
 
+    /** In the slack: rewrites what a level that is to come could not read; whether more is left. */
+    private boolean planMigration(TxnPlan plan) {
+        for (BlockId id : levels.toRewrite()) {
+            if (plan.room() < 2) {
+                return true;
+            }
+            allocations.putWhole(plan, id, ledger.allocation(id).tasks());
+        }
+        return false;
+    }
+
+    /** What is known of the level and what holds the next one back. */
+    public LevelSwitch levels() {
+        return levels;
+    }
+
     private void planTypes(TxnPlan plan) {
         for (MachineType type : fleet.catalog()) {
             MachineType known = ledger.types().get(type.name());
@@ -464,7 +491,7 @@
                 all.addAll(tasks);
                 next.put(job, all);
             });
-            if (plan.put(Keys.allocation(id), Allocation.write(next))) {
+            if (allocations.put(plan, id, next)) {
                 writtenAt.put(id, now);
             }
         }
--- a/src/main/java/org/quincecross/leader/Leases.java
+++ b/src/main/java/org/quincecross/leader/Leases.java
@@ -55,10 +55,12 @@
     private final Foresight foresight;
     private final Books books;
     private final FreshViews fresh;
+    private final Allocations allocations;
     private final Map<MachineId, Machine> newcomers = new LinkedHashMap<>();
     private SteadyTime rebalanced;
 
-    Leases(Timers timers, Ledger ledger, Settings settings, Fleet fleet, Foresight foresight, Books books, FreshViews fresh) {
+    Leases(Timers timers, Ledger ledger, Settings settings, Fleet fleet, Foresight foresight, Books books, FreshViews fresh,
+            Allocations allocations) {
         this.timers = timers;
         this.ledger = ledger;
         this.settings = settings;
@@ -66,6 +68,7 @@
         this.foresight = foresight;
         this.books = books;
         this.fresh = fresh;
+        this.allocations = allocations;
         this.rebalanced = timers.now();
     }
 
@@ -79,7 +82,8 @@
     }
 
     private List<MemberRecord> members() {
-        return List.copyOf(ledger.members().values());
+        // A build from before levels may join whatever the level is; it takes no block that it could not read.
+        return ledger.members().values().stream().filter(member -> member.build().can(ledger.level().level())).toList();
     }
 
     /** The member to lease a block to: the one with the fewest machines, and of those one in the block's zone. */
@@ -126,11 +130,9 @@
             BlockLease changed = without(block, going.getOrDefault(block.id(), Set.of()));
             if (changed.machines().isEmpty()) {
                 // No machine is left, so no task of it is anywhere: all of them go back to the pool.
-                if (plan.room() >= 2) {
+                if (plan.room() >= 3) {
                     plan.delete(Keys.block(block.id()));
-                    if (ledger.version(Keys.allocation(block.id())).number() != 0) {
-                        plan.delete(Keys.allocation(block.id()));
-                    }
+                    allocations.delete(plan, block.id());
                     deleted.add(block.id());
                 }
                 continue;
--- /dev/null
+++ b/src/main/java/org/quincecross/rollout/Feature.java
@@ -0,0 +1,19 @@
+package org.quincecross.rollout;
+
+/** What comes with a level. Whether it is there is asked for here and nowhere else. */
+public enum Feature {
+    /** The leadership has a place that builds without levels don't know of, so that they never lead. */
+    LEADERSHIP_MOVED(2),
+    /** Of a block's allocation what changed is written, and the whole only now and then. */
+    ALLOCATION_CHANGES(2);
+
+    private final Level since;
+
+    Feature(int since) {
+        this.since = new Level(since);
+    }
+
+    public boolean isIn(Level level) {
+        return !since.isAbove(level);
+    }
+}
--- a/src/main/java/org/quincecross/state/Keys.java
+++ b/src/main/java/org/quincecross/state/Keys.java
@@ -12,6 +12,10 @@
     /** Everything lies under this, so that one watch sees every change. */
     public static final String ROOT = "q/";
     public static final String LEADER = ROOT + "leader";
+    /** The level in force. */
+    public static final String LEVEL = ROOT + "level";
+    /** Who leads, from level 2 on. At {@link #LEADER} something is left then that builds without levels take for a leader. */
+    public static final String LEADS = ROOT + "leads";
     public static final String OPERATOR_SETTINGS = ROOT + "settings";
     static final String MEMBERS = ROOT + "member/";
     static final String JOBS = ROOT + "job/";
@@ -20,6 +24,7 @@
     static final String PAGES = ROOT + "page/";
     static final String BLOCKS = ROOT + "block/";
     static final String ALLOCATIONS = ROOT + "alloc/";
+    static final String CHANGED_ALLOCATIONS = ROOT + "change/";
     static final String TYPES = ROOT + "type/";
 
     private Keys() {
@@ -56,6 +61,11 @@
         return ALLOCATIONS + block.text();
     }
 
+    /** The record of how a block's tasks differ from those of {@link #allocation}. */
+    public static String changedAllocation(BlockId block) {
+        return CHANGED_ALLOCATIONS + block.text();
+    }
+
     public static String type(String name) {
         return TYPES + safe(name);
     }
--- a/src/main/java/org/quincecross/state/Ledger.java
+++ b/src/main/java/org/quincecross/state/Ledger.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.stream.Stream;
 import org.quincecross.model.BlockId;
 import org.quincecross.model.Incarnation;
 import org.quincecross.model.JobId;
@@ -19,6 +20,9 @@
 import org.quincecross.model.MemberId;
 import org.quincecross.model.Revision;
 import org.quincecross.model.TaskSet;
+import org.quincecross.rollout.Build;
+import org.quincecross.rollout.Feature;
+import org.quincecross.rollout.Level;
 import org.quincecross.wire.BadMessage;
 import org.quincecross.wire.CloudCodec;
 import org.quincecross.wire.Fields;
@@ -49,13 +53,19 @@
     private final Map<BlockId, BlockLease> blocks = new TreeMap<>();
     /** The same again: what is asked for many times a second is not to be searched for in order. */
     private final Map<BlockId, BlockLease> blockById = new HashMap<>();
+    /** As they are, with what has changed since their last whole record. */
     private final Map<BlockId, Allocation> allocations = new HashMap<>();
+    private final Map<BlockId, Allocation> wholeAllocations = new HashMap<>();
+    private final Map<BlockId, AllocationChange> allocationChanges = new HashMap<>();
     private final Map<JobId, Set<BlockId>> allocatedTo = new HashMap<>();
     private final Map<MachineId, BlockLease> blockOf = new HashMap<>();
     private final Map<MemberId, MemberRecord> members = new TreeMap<>();
     private final Map<String, MachineType> types = new TreeMap<>();
     private final List<Listener> listeners = new ArrayList<>();
+    private final Map<String, String> unreadable = new TreeMap<>();
     private MemberRecord leader;
+    private MemberRecord leads;
+    private LevelRecord level = LevelRecord.NONE;
     private Object operatorSettings;
     private Revision revision = Revision.NONE;
     private boolean loaded;
@@ -183,13 +193,55 @@
 
     /** The leading controller; its version is that of the leadership. Null where there is none. */
     public MemberRecord leader() {
-        return leader;
+        return Feature.LEADERSHIP_MOVED.isIn(level.level()) ? leads : leader;
+    }
+
+    /** Where it is written who leads, at the level in force. */
+    public String leaderKey() {
+        return leaderKey(level.level());
+    }
+
+    /** Where it is written at a level who leads. */
+    public static String leaderKey(Level level) {
+        return Feature.LEADERSHIP_MOVED.isIn(level) ? Keys.LEADS : Keys.LEADER;
+    }
+
+    /** The level in force, and with which revision it took effect. */
+    public LevelRecord level() {
+        return level;
+    }
+
+    /**
+     * The records that could not be read, each with the reason. Whoever has one of them must not act on the others: what it takes
+     * for the state of things is not.
+     */
+    public Map<String, String> unreadable() {
+        return unreadable;
+    }
+
+    /** The last whole record of a block's tasks, without what has changed since. */
+    public Allocation wholeAllocation(BlockId block) {
+        return wholeAllocations.getOrDefault(block, Allocation.EMPTY);
+    }
+
+    /** The blocks of which a change is on record. */
+    public Set<BlockId> changedAllocations() {
+        return allocationChanges.keySet();
     }
 
     public Map<String, MachineType> types() {
         return types;
     }
 
+    /** The operators' settings; the defaults where a later version wrote what cannot be read: better to go on than to guess. */
+    public OperatorSettings operatorSettingsOrDefaults() {
+        try {
+            return operatorSettings == null ? OperatorSettings.DEFAULTS : OperatorSettings.read(operatorSettings, OperatorSettings.DEFAULTS);
+        } catch (BadMessage e) {
+            return OperatorSettings.DEFAULTS;
+        }
+    }
+
     public Object operatorSettings() {
         return operatorSettings;
     }
@@ -239,6 +291,7 @@
     private void put(String key, Object value, Revision version) {
         if (value == null) {
             versions.remove(key);
+            unreadable.remove(key);
         } else {
             versions.put(key, version);
         }
@@ -255,18 +308,36 @@
                 putBlock(new BlockId(key.substring(Keys.BLOCKS.length())), value, version);
             } else if (key.startsWith(Keys.ALLOCATIONS)) {
                 BlockId block = new BlockId(key.substring(Keys.ALLOCATIONS.length()));
-                touchedBlocks.add(block);
-                putAllocation(block, value == null ? null : Allocation.read(value, version));
+                set(wholeAllocations, block, value == null ? null : Allocation.read(value, version));
+                putAllocation(block);
+            } else if (key.startsWith(Keys.CHANGED_ALLOCATIONS)) {
+                BlockId block = new BlockId(key.substring(Keys.CHANGED_ALLOCATIONS.length()));
+                set(allocationChanges, block, value == null ? null : AllocationChange.read(value, version));
+                putAllocation(block);
             } else {
                 touchedOther = true;
                 putOther(key, value, version);
             }
+            if (!unreadable.isEmpty()) {
+                unreadable.remove(key);
+            }
         } catch (BadMessage e) {
-            // A record that cannot be read is left as it was: it must not end the process or pass for another.
+            // A record that cannot be read is left as it was: it must not end the process or pass for another. Whoever skipped one
+            // has a wrong picture, and neither leads nor holds until it can be read (Membership.State.UNABLE).
             LOG.error("record {} skipped: {}", key, e.getMessage());
+            if (isEssential(key)) {
+                unreadable.put(key, e.getMessage());
+                touchedOther = true;
+            }
         }
     }
 
+    /** Whether a record says what runs where, or how the others are to be read. */
+    private static boolean isEssential(String key) {
+        return key.equals(Keys.LEVEL) || Stream.of(Keys.JOBS, Keys.BUNDLES, Keys.DONE, Keys.PAGES, Keys.BLOCKS, Keys.ALLOCATIONS,
+                Keys.CHANGED_ALLOCATIONS).anyMatch(key::startsWith);
+    }
+
     private void putJob(String name, Object value, Revision version) throws BadMessage {
         JobId id = JobId.parse(name);
         if (id == null || value == null) {
@@ -347,7 +418,19 @@
         });
     }
 
-    private void putAllocation(BlockId block, Allocation next) {
+    private static <T> void set(Map<BlockId, T> all, BlockId block, T value) {
+        if (value == null) {
+            all.remove(block);
+        } else {
+            all.put(block, value);
+        }
+    }
+
+    private void putAllocation(BlockId block) {
+        touchedBlocks.add(block);
+        Allocation whole = wholeAllocations.get(block);
+        AllocationChange change = whole == null ? null : allocationChanges.get(block);
+        Allocation next = change == null ? whole : change.over(whole);
         Allocation before = next == null ? allocations.remove(block) : allocations.put(block, next);
         if (next != null) {
             next.tasks().keySet().forEach(job -> allocatedTo.computeIfAbsent(job, id -> new HashSet<>(4)).add(block));
@@ -386,6 +469,10 @@
             }
         } else if (key.equals(Keys.LEADER)) {
             leader = value == null ? null : member(value, version);
+        } else if (key.equals(Keys.LEADS)) {
+            leads = value == null ? null : member(value, version);
+        } else if (key.equals(Keys.LEVEL)) {
+            level = value == null ? LevelRecord.NONE : LevelRecord.read(value, version);
         } else if (key.startsWith(Keys.TYPES) && value != null) {
             for (MachineType type : CloudCodec.readCatalog(Fields.of(value, "a machine type"))) {
                 types.put(type.name(), type);
@@ -395,8 +482,17 @@
         }
     }
 
+    /** What a member announces; one that announces nothing was built before levels. */
+    private static Build build(Fields in) throws BadMessage {
+        if (!in.has("build")) {
+            return Build.BEFORE_LEVELS;
+        }
+        Level least = new Level(in.count("least", 1, Level.MOST));
+        return new Build(in.text("build"), least, new Level(in.count("most", least.number(), Level.MOST)));
+    }
+
     private static MemberRecord member(Object value, Revision version) throws BadMessage {
         Fields in = Fields.of(value, "a member");
-        return new MemberRecord(new MemberId(in.text("member")), new Incarnation(in.unsigned("life")), in.text("zone"), version);
+        return new MemberRecord(new MemberId(in.text("member")), new Incarnation(in.unsigned("life")), in.text("zone"), build(in), version);
     }
 }
--- /dev/null
+++ b/src/main/java/org/quincecross/state/LevelRecord.java
@@ -0,0 +1,25 @@
+package org.quincecross.state;
+
+import java.util.Map;
+import org.quincecross.model.Revision;
+import org.quincecross.rollout.Level;
+import org.quincecross.wire.BadMessage;
+import org.quincecross.wire.Fields;
+import org.quincecross.wire.Json;
+
+/**
+ * The level in force.
+ *
+ * @param version with which it took effect, for everybody; none while no record says a level, which is the first then
+ */
+public record LevelRecord(Level level, Revision version) {
+    public static final LevelRecord NONE = new LevelRecord(Level.FIRST, Revision.NONE);
+
+    static LevelRecord read(Object value, Revision version) throws BadMessage {
+        return new LevelRecord(new Level(Fields.of(value, "the level").count("level", 1, Level.MOST)), version);
+    }
+
+    public static Map<String, Object> write(Level level) {
+        return Json.object("level", level.number());
+    }
+}
--- a/src/main/java/org/quincecross/state/Membership.java
+++ b/src/main/java/org/quincecross/state/Membership.java
@@ -2,12 +2,14 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 import org.quincecross.model.Incarnation;
 import org.quincecross.model.MemberId;
 import org.quincecross.model.Revision;
 import org.quincecross.model.Span;
 import org.quincecross.net.HttpOutcome;
 import org.quincecross.net.Timers;
+import org.quincecross.rollout.Build;
 import org.quincecross.wire.BadMessage;
 import org.quincecross.wire.Json;
 import org.quincecross.wire.StateCodec;
@@ -27,21 +29,41 @@
     private static final Span RENEW_TIMEOUT = Span.ofSeconds(1);
     private static final Span RETRY = Span.ofMillis(300);
 
+    /** One that cannot read the records looks again so often: they or the level may have changed. */
+    private static final Span LOOK_AGAIN = Span.ofSeconds(5);
+
     /** The states of membership. */
-    public enum State { ENDING_FORMER_LIFE, ASKING_FOR_LEASE, ANNOUNCING, LIVE }
+    public enum State {
+        ENDING_FORMER_LIFE,
+        ASKING_FOR_LEASE,
+        /** The member record is written, on condition that the level in force is one that this build can do. */
+        ANNOUNCING,
+        LIVE,
+        /** The level in force has changed since it was last known here. */
+        READING_LEVEL,
+        /** This build cannot do the level in force, or cannot read a record: it is no member, holds nothing, and looks again. */
+        UNABLE
+    }
 
     private final Timers timers;
     private final StateClient client;
     private final MemberId member;
     private final String zone;
+    private final Build build;
+    private LevelRecord level = LevelRecord.NONE;
+    private String unable = "";
+    private int planned;
+    private BooleanSupplier unreadable = () -> false;
     private State state = State.ENDING_FORMER_LIFE;
     private Incarnation life = Incarnation.NONE;
 
-    public Membership(Timers timers, StateClient client, MemberId member, String zone) {
+    /** @param build what this controller can read and write */
+    public Membership(Timers timers, StateClient client, MemberId member, String zone, Build build) {
         this.timers = timers;
         this.client = client;
         this.member = member;
         this.zone = zone;
+        this.build = build;
     }
 
     public State state() {
@@ -59,7 +81,23 @@
 
     /** The record that names this controller, as a member or as the leader. */
     public Map<String, Object> record() {
-        return Json.object("member", member.text(), "life", life.number(), "zone", zone);
+        Map<String, Object> record = Json.object("member", member.text(), "life", life.number(), "zone", zone);
+        if (!build.equals(Build.BEFORE_LEVELS)) {
+            record.put("build", build.name());
+            record.put("least", build.least().number());
+            record.put("most", build.most().number());
+        }
+        return record;
+    }
+
+    /** What this controller can read and write. */
+    public Build build() {
+        return build;
+    }
+
+    /** Why this controller cannot take part; empty where it can. */
+    public String unable() {
+        return state == State.UNABLE ? unable : "";
     }
 
     public void start() {
@@ -76,16 +114,28 @@
         step();
     }
 
+    /** The next step; one that was planned before is not made. */
+    private void stepAfter(Span span) {
+        int mine = ++planned;
+        timers.after(span, () -> {
+            if (mine == planned) {
+                step();
+            }
+        });
+    }
+
     private void again() {
-        timers.after(RETRY, this::step);
+        stepAfter(RETRY);
     }
 
     private void step() {
         switch (state) {
             case ENDING_FORMER_LIFE -> client.readNow(StateCodec.keyPath(Keys.member(member)), this::endFormer);
             case ASKING_FOR_LEASE -> client.grant(TTL, this::granted);
-            case ANNOUNCING -> client.txnNow(List.of(),
+            // An older build that joins while the level rises either makes the switch fail, by this record, or fails itself.
+            case ANNOUNCING -> client.txnNow(List.of(new Guard(Keys.LEVEL, level.version())),
                     List.of(new Change(Keys.member(member), record(), life)), this::announced);
+            case READING_LEVEL, UNABLE -> client.readNow(StateCodec.keyPath(Keys.LEVEL), this::levelRead);
             case LIVE -> client.renew(life, RENEW_TIMEOUT, this::renewed);
             default -> throw new IllegalStateException(state.toString());
         }
@@ -136,19 +186,81 @@
             case COMMITTED -> {
                 LOG.info("member {} lives, life {}", member, life);
                 enter(State.LIVE);
-                timers.after(RENEW_EVERY, this::step);
+                stepAfter(RENEW_EVERY);
             }
             case NO_LEASE -> stepTo(State.ASKING_FOR_LEASE);
+            case CONFLICT -> stepTo(State.READING_LEVEL);
             default -> again(); // the record is the same however often it is written
         }
     }
 
     private void renewed(HttpOutcome outcome) {
+        if (state != State.LIVE) {
+            return; // found unable meanwhile
+        }
         if (outcome.status() == 404) {
             LOG.info("life {} is over: its lease has run out", life);
             stepTo(State.ASKING_FOR_LEASE);
         } else {
-            timers.after(outcome.status() == 200 ? RENEW_EVERY : RETRY, this::step);
+            stepAfter(outcome.status() == 200 ? RENEW_EVERY : RETRY);
+        }
+    }
+
+    private void levelRead(HttpOutcome outcome) {
+        try {
+            if (outcome.status() == 200) {
+                var in = Json.parseFields(outcome.response().body());
+                level = LevelRecord.read(in.raw("Value"), new Revision(in.unsigned("Stamp")));
+            } else if (outcome.status() == 404) {
+                level = LevelRecord.NONE;
+            } else {
+                again();
+                return;
+            }
+        } catch (BadMessage e) {
+            becomeUnable("the level on record cannot be read: " + e.getMessage());
+            return;
+        }
+        if (!build.can(level.level())) {
+            becomeUnable(tooOld());
+        } else if (unreadable.getAsBoolean()) {
+            becomeUnable(unable.isEmpty() ? "a record cannot be read" : unable);
+        } else {
+            // A lease that was granted a while ago may have run out meanwhile: announcing finds that out.
+            stepTo(state == State.UNABLE ? State.ENDING_FORMER_LIFE : State.ANNOUNCING);
+        }
+    }
+
+    private String tooOld() {
+        return "level " + level.level() + " is in force, and this build (" + build.name() + ") does levels " + build.least() + " to " + build.most();
+    }
+
+    /** Takes no part from here on: what this controller leads and holds is taken over as if it had ended. */
+    private void becomeUnable(String why) {
+        if (!unable.equals(why) || state != State.UNABLE) {
+            LOG.error("cannot take part: {}", why);
+        }
+        boolean wasLive = state == State.LIVE;
+        unable = why;
+        enter(State.UNABLE);
+        if (wasLive) {
+            client.end(life, ended -> { });
+        }
+        stepAfter(LOOK_AGAIN);
+    }
+
+    /** Follows the records: a live member that cannot read them, or not do the level in force, is none any more. */
+    public void ledgerChanged(Ledger ledger) {
+        unreadable = () -> !ledger.unreadable().isEmpty();
+        if (state != State.LIVE) {
+            return;
+        }
+        level = ledger.level();
+        if (!build.can(level.level())) {
+            becomeUnable(tooOld());
+        } else if (!ledger.unreadable().isEmpty()) {
+            Map.Entry<String, String> first = ledger.unreadable().entrySet().iterator().next();
+            becomeUnable("record " + first.getKey() + " cannot be read: " + first.getValue());
         }
     }
 
--- a/src/main/java/org/quincecross/state/OperatorSettings.java
+++ b/src/main/java/org/quincecross/state/OperatorSettings.java
@@ -1,6 +1,8 @@
 package org.quincecross.state;
 
+import java.util.List;
 import java.util.Map;
+import org.quincecross.rollout.Level;
 import org.quincecross.wire.BadMessage;
 import org.quincecross.wire.Fields;
 import org.quincecross.wire.Json;
@@ -11,10 +13,12 @@
  * @param renting whether machines are rented
  * @param returning whether idle machines go back
  * @param idleSeconds how long a machine is kept idle, beyond half its boot time
+ * @param mostLevel the highest level that may be put in force; 0: any
+ * @param gone controllers that the platform's file names and that will not come back
  * @param spareTasks for how many more tasks of the highest priority there is always to be room
  */
-public record OperatorSettings(boolean renting, boolean returning, double idleSeconds, int spareTasks) {
-    public static final OperatorSettings DEFAULTS = new OperatorSettings(true, true, 25, 2);
+public record OperatorSettings(boolean renting, boolean returning, double idleSeconds, int spareTasks, int mostLevel, List<String> gone) {
+    public static final OperatorSettings DEFAULTS = new OperatorSettings(true, true, 25, 2, 0, List.of());
     private static final double LONGEST_IDLE_S = 86_400;
     private static final int MOST_SPARE = 1000;
 
@@ -33,10 +37,13 @@
             throw new BadMessage("field idle_s of the settings is longer than a day");
         }
         return new OperatorSettings(in.flagOr("renting", before.renting()), in.flagOr("returning", before.returning()), idle,
-                in.has("spare_tasks") ? in.count("spare_tasks", 0, MOST_SPARE) : before.spareTasks());
+                in.has("spare_tasks") ? in.count("spare_tasks", 0, MOST_SPARE) : before.spareTasks(),
+                in.has("most_level") ? in.count("most_level", 0, Level.MOST) : before.mostLevel(),
+                in.has("gone") ? List.copyOf(in.texts("gone")) : before.gone());
     }
 
     public Map<String, Object> write() {
-        return Json.object("renting", renting, "returning", returning, "idle_s", idleSeconds, "spare_tasks", spareTasks);
+        return Json.object("renting", renting, "returning", returning, "idle_s", idleSeconds, "spare_tasks", spareTasks,
+                "most_level", mostLevel, "gone", gone);
     }
 }
--- a/src/main/java/org/quincecross/wire/Features.java
+++ b/src/main/java/org/quincecross/wire/Features.java
@@ -4,15 +4,18 @@
 import java.util.Map;
 import org.quincecross.model.Span;
 import org.quincecross.overload.Shares;
+import org.quincecross.rollout.Build;
+import org.quincecross.rollout.Level;
 
 /**
  * What is switched on beyond the core, by a file under {@code deploy/}; the same file for all controllers.
  *
  * @param overload how work is ordered when there is too much of it; null: by due time alone
+ * @param build what this controller announces: which levels of the stored state it takes part in
  * @param servedEvery how often it is logged who was served; null: it is not counted
  */
-public record Features(Shares overload, Span servedEvery) {
-    public static final Features NONE = new Features(null, null);
+public record Features(Shares overload, Span servedEvery, Build build) {
+    public static final Features NONE = new Features(null, null, Build.BEFORE_LEVELS);
     private static final double LEAST_LOG_S = 1;
     private static final double MOST_LOG_S = 86_400;
 
@@ -20,7 +23,7 @@
     public static Features read(byte[] bytes) throws BadMessage {
         Object value = Json.parse(bytes);
         Fields in = Fields.of(value, "the features");
-        known(value, "the features", List.of("overload", "served"));
+        known(value, "the features", List.of("overload", "served", "rollout"));
         Shares overload = null;
         if (in.has("overload")) {
             known(in.raw("overload"), "overload", List.of("usable", "coming", "floor", "turns"));
@@ -41,7 +44,14 @@
             }
             served = Span.ofSeconds(every);
         }
-        return new Features(overload, served);
+        Build build = Build.BEFORE_LEVELS;
+        if (in.has("rollout")) {
+            known(in.raw("rollout"), "rollout", List.of("build", "most_level"));
+            Fields each = in.fields("rollout");
+            int most = each.has("most_level") ? each.count("most_level", 1, Level.NEWEST.number()) : Level.NEWEST.number();
+            build = Build.present(each.textOr("build", "unnamed"), most);
+        }
+        return new Features(overload, served, build);
     }
 
     private static double share(Fields in, String name, double otherwise) throws BadMessage {
--- a/src/test/java/org/quincecross/emulator/OverloadCasesTest.java
+++ b/src/test/java/org/quincecross/emulator/OverloadCasesTest.java
@@ -18,13 +18,14 @@
 import org.quincecross.model.Span;
 import org.quincecross.model.Team;
 import org.quincecross.overload.Shares;
+import org.quincecross.rollout.Build;
 import org.quincecross.served.Served;
 import org.quincecross.served.ServedBooks;
 import org.quincecross.wire.Features;
 
 /** More work than can be done in time, on three controllers in virtual time: who is served all the same. */
 class OverloadCasesTest {
-    private static final Features ON = new Features(new Shares(0.85, 0.5, 0.1, 0.1), Span.ofSeconds(20));
+    private static final Features ON = new Features(new Shares(0.85, 0.5, 0.1, 0.1), Span.ofSeconds(20), Build.BEFORE_LEVELS);
     private static final int MACHINES = 30;
     private static final String LOUD = "loud";
     private static final List<String> QUIET = List.of("quiet-1", "quiet-2", "quiet-3", "quiet-4", "quiet-5");
--- a/src/test/java/org/quincecross/leader/LeasesTest.java
+++ b/src/test/java/org/quincecross/leader/LeasesTest.java
@@ -30,6 +30,7 @@
 import org.quincecross.wire.Json;
 import org.quincecross.wire.Settings;
 import org.quincecross.wire.StateCodec.Change;
+import org.quincecross.rollout.Build;
 
 /** A start that was never answered and never showed is refused only under a higher token (incident unanswered-start). */
 class LeasesTest {
@@ -51,9 +52,10 @@
         Foresight foresight = new Foresight(ledger);
         Fleet fleet = new Fleet(clock, (to, request, timeout, done) -> { }, ledger, settings, foresight, () -> new Incarnation(1),
                 () -> OperatorSettings.DEFAULTS);
-        leases = new Leases(clock, ledger, settings, fleet, foresight, new Books(ledger), new FreshViews(clock, ledger, views));
+        leases = new Leases(clock, ledger, settings, fleet, foresight, new Books(ledger), new FreshViews(clock, ledger, views),
+                new Allocations(ledger, () -> false));
         LedgerTool.put(ledger, Keys.member(HOLDER), Json.object("member", "n", "life", 1, "zone", "a"), 1);
-        MemberRecord member = new MemberRecord(HOLDER, new Incarnation(1), "a", new Revision(1));
+        MemberRecord member = new MemberRecord(HOLDER, new Incarnation(1), "a", Build.BEFORE_LEVELS, new Revision(1));
         Machine first = new Machine(new MachineId("m-0"), HERE, "t", "a", false);
         Machine second = new Machine(new MachineId("m-1"), HERE, "t", "a", false);
         LedgerTool.put(ledger, Keys.block(BLOCK), BlockLease.first(BLOCK, member, first).with(second).write(), 2);
--- a/src/test/java/org/quincecross/state/OperatorSettingsTest.java
+++ b/src/test/java/org/quincecross/state/OperatorSettingsTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import java.util.List;
 import java.nio.charset.StandardCharsets;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
@@ -19,13 +20,13 @@
     @Property(tries = 100, seed = "14")
     void whatIsWrittenReadsTheSame(@ForAll boolean renting, @ForAll boolean returning, @ForAll @IntRange(max = 86_400) int idle,
             @ForAll @IntRange(max = 1000) int spare) throws BadMessage {
-        OperatorSettings settings = new OperatorSettings(renting, returning, idle, spare);
+        OperatorSettings settings = new OperatorSettings(renting, returning, idle, spare, 0, List.of());
         assertEquals(settings, OperatorSettings.read(Json.parse(Json.write(settings.write())), OperatorSettings.DEFAULTS));
     }
 
     @Example
     void whatIsLeftOutStays() throws BadMessage {
-        assertEquals(new OperatorSettings(true, true, 60, 2), read("{\"idle_s\":60}"));
+        assertEquals(new OperatorSettings(true, true, 60, 2, 0, List.of()), read("{\"idle_s\":60}"));
     }
 
     @Example
