--- a/src/main/java/org/quincecross/admin/ServedLog.java
+++ b/src/main/java/org/quincecross/admin/ServedLog.java
@@ -73,7 +73,12 @@
             switch (record.phase()) {
                 case OPEN -> {
                     Span age = Span.ofMillis(Math.max(0, clockMs.getAsLong() - record.acceptedMs()));
-                    books.accepted(record.job(), new SteadyTime(now.nanos() - age.nanos()));
+                    SteadyTime accepted = new SteadyTime(now.nanos() - age.nanos());
+                    if (changes.reloaded()) {
+                        books.found(record.job(), accepted);
+                    } else {
+                        books.accepted(record.job(), accepted);
+                    }
                 }
                 case DONE -> books.done(id, now);
                 case CANCELLED -> books.cancelled(id, now);
--- a/src/main/java/org/quincecross/served/ServedBooks.java
+++ b/src/main/java/org/quincecross/served/ServedBooks.java
@@ -113,11 +113,20 @@
 
     /** A job was accepted: once for each job, later calls change nothing. */
     public void accepted(Job job, SteadyTime at) {
+        add(job, at, aims.apply(job));
+    }
+
+    /** A job was open when the counting began: when its tasks started that run already, nobody knows, so starts do not count. */
+    public void found(Job job, SteadyTime at) {
+        add(job, at, aims.apply(job).stream().filter(aim -> aim.of() == Aim.Of.END).toList());
+    }
+
+    private void add(Job job, SteadyTime at, List<Aim> ofJob) {
         if (open.containsKey(job.id())) {
             return;
         }
         Count count = counts.computeIfAbsent(new Group(job.team(), job.jobClass()), group -> new Count());
-        open.put(job.id(), new Open(count, job.tasks(), at, aims.apply(job)));
+        open.put(job.id(), new Open(count, job.tasks(), at, ofJob));
         count.jobs++;
         count.tasks += job.tasks();
         count.waiting++;
--- a/src/test/java/org/quincecross/served/ServedBooksTest.java
+++ b/src/test/java/org/quincecross/served/ServedBooksTest.java
@@ -128,6 +128,16 @@
         return met.toString() + jobs + "/" + ended + "/" + started + "/" + tasks;
     }
 
+    /** After a restart: what ran before is not called late, what ends late is. */
+    @Example
+    void whatWasOpenBefore() {
+        ServedBooks books = new ServedBooks(job -> List.of(START, END));
+        books.found(job(1, "t", "c", 4), at(0));
+        books.started(new JobId("job-1"), 4, at(30));
+        books.done(new JobId("job-1"), at(50));
+        assertEquals(List.of(new Served.Met(END.name(), 0, 1)), books.teams(at(60)).get("t").aims());
+    }
+
     /** The longest time with work waiting and nothing served; what waits at its team's limit could not have been started. */
     @Example
     void starvationAndLimits() {
