--- a/src/main/java/org/quincecross/leader/Demands.java
+++ b/src/main/java/org/quincecross/leader/Demands.java
@@ -41,8 +41,8 @@
     private final Overload overload;
     private final Map<JobId, Age> ages = new HashMap<>();
 
-    /** How old a job was when it was first looked at here, and when that was. */
-    private record Age(double seconds, SteadyTime at) {
+    /** How old a job was when it was first looked at here, when that was, and what is expected of it. */
+    private record Age(double seconds, SteadyTime at, List<Aim> aims) {
     }
 
     /**
@@ -175,13 +175,13 @@
      * then on. A time of day that jumps makes nothing late that is known, and nothing younger than new.
      */
     private double steadyAge(JobRecord record, SteadyTime now) {
-        Age age = ages.computeIfAbsent(record.id(), id -> new Age(Math.max(0, age(record)), now));
+        Age age = ages.computeIfAbsent(record.id(), id -> new Age(Math.max(0, age(record)), now, settings.aims(record.job())));
         return age.seconds + now.since(age.at).seconds();
     }
 
     private List<Goal> goals(Job job, double age) {
         List<Goal> goals = new ArrayList<>();
-        for (Aim aim : settings.aims(job)) {
+        for (Aim aim : ages.get(job.id()).aims()) {
             goals.add(new Goal(aim.within().seconds() - age, aim.of() == Aim.Of.EACH_START));
         }
         return goals;
--- a/src/main/java/org/quincecross/wire/Settings.java
+++ b/src/main/java/org/quincecross/wire/Settings.java
@@ -4,7 +4,6 @@
 import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import org.quincecross.model.Aim;
 import org.quincecross.model.Endpoint;
@@ -80,7 +79,7 @@
             }
             if (objective.within() != null) {
                 boolean start = objective.kind().equals("wait");
-                aims.add(new Aim(String.format(Locale.ROOT, "%s %.0f s", objective.kind(), objective.within().seconds()),
+                aims.add(new Aim(objective.kind() + " " + Math.round(objective.within().seconds()) + " s",
                         start ? Aim.Of.EACH_START : Aim.Of.END, objective.within()));
             } else if (job.deadline() != null) {
                 ownDeadline &= objective.times() != 1;
@@ -95,7 +94,10 @@
     }
 
     private static Aim deadline(Job job, double times) {
-        return new Aim(String.format(Locale.ROOT, "deadline %.2fx", times), Aim.Of.END, job.deadline().times(times));
+        // Asked for every job that waits: formatting cost a leader that had just started seconds of replica time.
+        long hundredths = Math.round(times * 100);
+        return new Aim("deadline " + hundredths / 100 + (hundredths % 100 < 10 ? ".0" : ".") + hundredths % 100 + "x", Aim.Of.END,
+                job.deadline().times(times));
     }
 
     public static Settings read(byte[] bytes) throws BadMessage {
