--- a/src/main/java/org/quincecross/admin/ServedLog.java
+++ b/src/main/java/org/quincecross/admin/ServedLog.java
@@ -87,15 +87,9 @@
         }
     }
 
-    private void countHeldBack() {
-        for (JobId id : List.copyOf(books.openIds())) {
-            books.heldBack(id, leader.heldBack(id));
-        }
-    }
-
     /** The teams, those that were served least first. */
     private List<Map.Entry<String, Served>> teams(SteadyTime now) {
-        countHeldBack();
+        leader.heldBack(books.openIds()).forEach(books::heldBack);
         List<Map.Entry<String, Served>> teams = new ArrayList<>(books.teams(now).entrySet());
         teams.sort(Comparator.comparingDouble((Map.Entry<String, Served> team) -> team.getValue().least()).thenComparing(Map.Entry::getKey));
         return teams.subList(0, Math.min(MOST_TEAMS, teams.size()));
--- a/src/main/java/org/quincecross/leader/Allocations.java
+++ b/src/main/java/org/quincecross/leader/Allocations.java
@@ -1,7 +1,9 @@
 package org.quincecross.leader;
 
+import java.util.List;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Stream;
 import org.quincecross.model.BlockId;
 import org.quincecross.model.JobId;
 import org.quincecross.model.TaskSet;
@@ -51,12 +53,8 @@
         return plan.put(Keys.allocation(id), whole) && (!hasChange || plan.delete(changeKey));
     }
 
-    /** Deletes what is written of a block; the caller has seen that there is room for {@link #deletes} changes. */
-    void delete(TxnPlan plan, BlockId id) {
-        for (String key : new String[] {Keys.allocation(id), Keys.changedAllocation(id)}) {
-            if (ledger.version(key).number() != 0) {
-                plan.delete(key);
-            }
-        }
+    /** The records that there are of a block's tasks: whoever deletes the block deletes them with it. */
+    List<String> keys(BlockId id) {
+        return Stream.of(Keys.allocation(id), Keys.changedAllocation(id)).filter(key -> ledger.version(key).number() != 0).toList();
     }
 }
--- a/src/main/java/org/quincecross/leader/Demands.java
+++ b/src/main/java/org/quincecross/leader/Demands.java
@@ -70,7 +70,7 @@
         List<Waiting> waiting = waiting();
         if (overload == null) {
             for (Waiting each : waiting) {
-                demands.add(inOrder(each, dueS(each.account.job(), age(each.record))));
+                demands.add(inOrder(each, dueS(each.account.job(), age(each.record), settings.aims(each.account.job()))));
             }
             return demands;
         }
@@ -86,7 +86,7 @@
         for (Waiting each : waiting) {
             Verdict verdict = verdicts.get(each.record.id());
             if (verdict == null) {
-                demands.add(inOrder(each, dueS(each.account.job(), steadyAge(each.record, now))));
+                demands.add(inOrder(each, dueS(each.account.job(), steadyAge(each.record, now), ages.get(each.record.id()).aims())));
                 continue;
             }
             Admission.Demand all = demand(each, verdict.dueS(),
@@ -191,10 +191,10 @@
      * Seconds until a job should be over: by its deadline, a multiple of it, or what is expected of its class, whichever
      * comes first of those that it can still meet. What can meet none is late.
      */
-    private double dueS(Job job, double age) {
+    private static double dueS(Job job, double age, List<Aim> aims) {
         double soonest = FEASIBLE * job.estimate().seconds();
         double last = NO_DEADLINE_S;
-        for (Aim aim : settings.aims(job)) {
+        for (Aim aim : aims) {
             double left = aim.within().seconds() - age;
             if (left > soonest) {
                 return left;
--- a/src/main/java/org/quincecross/leader/Leader.java
+++ b/src/main/java/org/quincecross/leader/Leader.java
@@ -1,6 +1,7 @@
 package org.quincecross.leader;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -201,15 +202,17 @@
         books.waiting();
     }
 
-    /** How many of a job's tasks in the pool could not go to any block, because its team would be over its limit. */
-    public int heldBack(JobId id) {
-        Books.Account account = books.account(id);
-        Team team = account == null ? null : settings.teams().get(account.job().team());
-        if (team == null || account.pool().isEmpty()) {
-            return 0;
+    /** How many tasks in the pool of each of some jobs could not go to any block, because its team would be over its limit. */
+    public Map<JobId, Integer> heldBack(Collection<JobId> jobs) {
+        Map<String, Resources> use = books.teamUse();
+        Map<JobId, Integer> heldBack = new HashMap<>();
+        for (JobId id : jobs) {
+            Books.Account account = books.account(id);
+            Team team = account == null ? null : settings.teams().get(account.job().team());
+            heldBack.put(id, team == null || account.pool().isEmpty() ? 0 : Math.max(0, account.pool().size()
+                    - team.limit().minus(use.getOrDefault(team.name(), Resources.NONE)).count(account.job().each())));
         }
-        Resources use = books.teamUse().getOrDefault(team.name(), Resources.NONE);
-        return Math.max(0, account.pool().size() - team.limit().minus(use).count(account.job().each()));
+        return heldBack;
     }
 
     /** What is known of an overload; null where work is ordered by due time alone, or nobody leads here. */
--- a/src/main/java/org/quincecross/leader/Leases.java
+++ b/src/main/java/org/quincecross/leader/Leases.java
@@ -130,9 +130,10 @@
             BlockLease changed = without(block, going.getOrDefault(block.id(), Set.of()));
             if (changed.machines().isEmpty()) {
                 // No machine is left, so no task of it is anywhere: all of them go back to the pool.
-                if (plan.room() >= 3) {
+                List<String> records = allocations.keys(block.id());
+                if (plan.room() > records.size()) {
                     plan.delete(Keys.block(block.id()));
-                    allocations.delete(plan, block.id());
+                    records.forEach(plan::delete);
                     deleted.add(block.id());
                 }
                 continue;
--- a/src/main/java/org/quincecross/leader/LevelSwitch.java
+++ b/src/main/java/org/quincecross/leader/LevelSwitch.java
@@ -8,7 +8,6 @@
 import java.util.Set;
 import org.quincecross.model.BlockId;
 import org.quincecross.model.MemberId;
-import org.quincecross.model.Revision;
 import org.quincecross.model.Span;
 import org.quincecross.model.SteadyTime;
 import org.quincecross.rollout.Feature;
@@ -122,9 +121,4 @@
         }
         return changes;
     }
-
-    /** Which revision the level took effect with. */
-    public Revision since() {
-        return ledger.level().version();
-    }
 }
--- a/src/main/java/org/quincecross/leader/TxnPlan.java
+++ b/src/main/java/org/quincecross/leader/TxnPlan.java
@@ -21,11 +21,6 @@
     private final List<Change> changes = new ArrayList<>();
     private int bytes;
 
-    /** Whether a value would have room, as it is. */
-    boolean fits(Map<String, Object> value) {
-        return Json.write(value).length <= mostValue;
-    }
-
     TxnPlan(Ledger ledger, int mostChanges, int mostValue) {
         this.ledger = ledger;
         this.mostChanges = mostChanges;
