Peer links made anew, deaf controllers remembered, a woken controller looks about first, jobs in doubt tried one at a time

Change: silence.LinkWatch (receipts tell whether a link works; else a new connection), silence.Hearing (deaf controllers per zone, tried again with one block after a pause), machines that their holder does not hear are held for the leader instead of sent there; silence.Stillness (a gap of the clock is noticed before anything is done; nothing is decided before the records are confirmed, and silence in the gap is nobody's); faults.Evidence in place of Blame, faults.Suspects in the leader. Quiet peer connections and kept connections to a silent host are let go.

--- a/src/main/java/org/quincecross/api/AgentApi.java
+++ b/src/main/java/org/quincecross/api/AgentApi.java
@@ -14,6 +14,8 @@
 import org.quincecross.model.Span;
 import org.quincecross.model.SteadyTime;
 import org.quincecross.net.Timers;
+import org.quincecross.peer.PeerReport;
+import org.quincecross.peer.PeerViews;
 import org.quincecross.state.BlockLease;
 import org.quincecross.state.Ledger;
 import org.quincecross.wire.BadMessage;
@@ -32,6 +34,11 @@
     private static final Span LOOK_AGAIN = Span.ofMillis(250);
     private static final Span STRAY_FOR = Span.ofSeconds(6);
 
+    /** A holder's word that is older says nothing of whom it hears. */
+    private static final Span WORD_FRESH = Span.ofSeconds(2.5);
+    /** A machine that its holder has not heard of for so long is not sent there. */
+    private static final Span UNHEARD = Span.ofSeconds(3);
+
     private record Waiting(WorkerReport report, SteadyTime until, Consumer<HttpResponse> reply) {
     }
 
@@ -39,16 +46,18 @@
     private final Ledger ledger;
     private final Holdings holdings;
     private final Leader leader;
+    private final PeerViews views;
     private final MemberId self;
     private final Map<MachineId, SteadyTime> strays = new HashMap<>();
     private List<Waiting> waiting = new ArrayList<>();
     private boolean lookPlanned;
 
-    AgentApi(Timers timers, Ledger ledger, Holdings holdings, Leader leader, MemberId self) {
+    AgentApi(Timers timers, Ledger ledger, Holdings holdings, Leader leader, PeerViews views, MemberId self) {
         this.timers = timers;
         this.ledger = ledger;
         this.holdings = holdings;
         this.leader = leader;
+        this.views = views;
         this.self = self;
     }
 
@@ -105,13 +114,26 @@
             return;
         }
         strays.put(machine, timers.now());
-        if (ledger.members().containsKey(lease.holder())) {
+        // A worker that is sent to a controller which it cannot reach loses five seconds of its lease, and on a short one that is
+        // the second time (docs/incidents/inc-6ced.md). The leader is told of it and moves the block.
+        if (ledger.members().containsKey(lease.holder()) && !isUnheard(lease, machine)) {
             redirect(lease.holder(), reply);
         } else {
             waitForLease(report, until, reply);
         }
     }
 
+    /** Whether the holder of a block itself says that it has not heard of a machine for a while. */
+    private boolean isUnheard(BlockLease lease, MachineId machine) {
+        PeerViews.View view = views.of(lease.holder());
+        if (view == null || timers.now().since(view.at()).isMoreThan(WORD_FRESH)) {
+            return false;
+        }
+        PeerViews.BlockView block = view.blocks().get(lease.id());
+        PeerReport.MachineState state = block == null || !block.token().equals(lease.token()) ? null : block.machines().get(machine);
+        return state != null && state.silent().isMoreThan(UNHEARD);
+    }
+
     private void redirect(MemberId member, Consumer<HttpResponse> reply) {
         reply.accept(member.equals(self) ? HttpResponse.of(503)
                 : HttpResponse.of(421, WorkerCodec.writeRedirect(member)));
--- a/src/main/java/org/quincecross/api/Controller.java
+++ b/src/main/java/org/quincecross/api/Controller.java
@@ -25,11 +25,14 @@
 import org.quincecross.net.HttpCaller;
 import org.quincecross.net.HttpHandler;
 import org.quincecross.net.Timers;
+import org.quincecross.net.Watched;
 import org.quincecross.overload.Overload;
 import org.quincecross.peer.PeerCodec;
 import org.quincecross.peer.PeerReport;
 import org.quincecross.peer.PeerViews;
 import org.quincecross.sched.Reserve;
+import org.quincecross.silence.LinkWatch;
+import org.quincecross.silence.Stillness;
 import org.quincecross.state.BlockLease;
 import org.quincecross.state.Follower;
 import org.quincecross.state.Foresight;
@@ -79,6 +82,8 @@
     private final Metrics metrics = new Metrics();
     private final PeerViews views = new PeerViews();
     private final Map<MemberId, Long> sent = new HashMap<>();
+    private final Map<MemberId, LinkWatch> links = new HashMap<>();
+    private final Stillness stillness;
     private final Span longestUnconfirmed;
     private long reports;
     private long regularReports;
@@ -90,10 +95,12 @@
      * @param clockMs tells the time of day
      * @param memoryIsShort whether there is no memory for more jobs
      */
-    public Controller(Timers timers, HttpCaller http, PeerSender peers, Settings settings, Features features, LongSupplier clockMs,
+    public Controller(Timers clock, HttpCaller caller, PeerSender peers, Settings settings, Features features, LongSupplier clockMs,
             BooleanSupplier memoryIsShort) {
-        this.timers = timers;
-        this.http = http;
+        // Whatever comes to pass here comes by a timer, an answer, a request or a frame, and each begins with a look at the clock.
+        stillness = new Stillness(clock.now());
+        timers = Watched.timers(clock, this::lookAtClock);
+        http = Watched.caller(caller, this::lookAtClock);
         this.peers = peers;
         this.settings = settings;
         StateClient client = new StateClient(timers, http, settings.state(), settings.stateLimits());
@@ -102,12 +109,12 @@
         holdings = new Holdings(this, settings.member(), membership::life);
         fleet = new Fleet(timers, http, ledger, settings, foresight, membership::life,
                 () -> AdminApi.settings(ledger));
-        leader = new Leader(timers, client, ledger, follower, membership, settings, fleet, foresight, views, clockMs,
+        leader = new Leader(timers, client, ledger, follower, membership, settings, fleet, foresight, views, clockMs, this::isWaking,
                 features.overload() == null ? null : new Overload(features.overload()));
         cancellations = new Cancellations(timers, ledger, holdings, views, clockMs, CANCEL_TOLD_AFTER, settings.clockBound());
         users = new UserApi(timers, ledger, follower, client, settings, this::running, clockMs, cancellations,
                 membership::life, memoryIsShort);
-        agents = new AgentApi(timers, ledger, holdings, leader, settings.member());
+        agents = new AgentApi(timers, ledger, holdings, leader, views, settings.member());
         stalls = new Stalls(timers, ledger, holdings, leader, this::running);
         served = features.servedEvery() == null ? null : new ServedLog(timers, ledger, leader, settings, clockMs, features.servedEvery());
         admin = new AdminApi(timers, ledger, follower, membership, client, holdings, leader, metrics, stalls, served);
@@ -144,6 +151,25 @@
         timers.every(TELL_EVERY, () -> tell(true, ++regularReports % LOOK_AT_ALL_EVERY == 0));
     }
 
+    /**
+     * Notices that this process has stood still while its clocks ran on, before anything is done by what it knew. It is its own
+     * stillness that nobody was heard meanwhile.
+     */
+    private void lookAtClock() {
+        Span gap = stillness.turn(timers.now());
+        if (gap.equals(Span.ZERO) || follower.confirmed() == null) {
+            return;
+        }
+        LOG.info("stood still for {}: nothing is decided before the records are confirmed", gap);
+        views.excuse(gap);
+        holdings.excuse(gap);
+        follower.barrier(confirmed -> leader.lookAgain());
+    }
+
+    private boolean isWaking() {
+        return stillness.isWaking(follower.confirmed(), timers.now());
+    }
+
     // ---- the other controllers ----
 
     private PeerReport report(long base) {
@@ -161,19 +187,29 @@
         views.take(report(own == null || !own.life().equals(membership.life()) ? 0 : own.number()), timers.now());
         for (Settings.Sibling sibling : settings.siblings()) {
             MemberId member = sibling.member();
+            LinkWatch link = links.computeIfAbsent(member, m -> new LinkWatch());
+            if (link.takeStuck(timers.now())) {
+                LOG.debug("nothing arrives at {}: a new connection is made", member);
+                peers.renew(member);
+            }
             boolean leads = ledger.leader() != null && ledger.leader().member().equals(member);
             if ((everyone || leads) && peers.send(member, PeerCodec.write(report(sent.getOrDefault(member, 0L))))) {
                 // On one connection nothing is lost; if this one is, the receiver will say that it has a gap.
                 sent.put(member, reports);
+                link.sent(timers.now());
             }
         }
     }
 
     /** Takes a frame from another controller; false if it cannot be read. */
     public boolean frame(byte[] frame) {
+        lookAtClock();
         try {
             PeerReport report = PeerCodec.read(frame);
             PeerReport.Receipt receipt = report.receipts().get(settings.member());
+            if (receipt != null && receipt.life().equals(membership.life())) {
+                links.computeIfAbsent(report.member(), member -> new LinkWatch()).receipt(receipt.number(), receipt.gap(), timers.now());
+            }
             if (receipt != null && receipt.gap() && receipt.life().equals(membership.life())) {
                 sent.merge(report.member(), receipt.number(), Math::min);
             }
@@ -223,6 +259,7 @@
 
     @Override
     public void handle(HttpRequest request, Consumer<HttpResponse> reply) {
+        lookAtClock();
         SteadyTime begun = timers.now();
         String path = request.path();
         String what = path.startsWith(JobCodec.JOBS) ? request.method() + (path.endsWith(JobCodec.CANCEL) ? " cancel" : " job")
@@ -330,7 +367,7 @@
     @Override
     public boolean isEntitled() {
         SteadyTime confirmed = confirmed();
-        return confirmed != null && membership.unable().isEmpty() && !timers.now().since(confirmed).isMoreThan(longestUnconfirmed);
+        return confirmed != null && !isWaking() && membership.unable().isEmpty() && !timers.now().since(confirmed).isMoreThan(longestUnconfirmed);
     }
 
     @Override
--- a/src/main/java/org/quincecross/block/BlockHolder.java
+++ b/src/main/java/org/quincecross/block/BlockHolder.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.quincecross.faults.Evidence;
 import org.quincecross.model.Attempt;
 import org.quincecross.model.BlockId;
 import org.quincecross.model.Job;
@@ -62,7 +63,7 @@
     private final Placements placements = new Placements();
     private final Map<TaskId, Entry> entries = new HashMap<>();
     private final BlockScheduler scheduler = new BlockScheduler();
-    private final Blame blame = new Blame();
+    private final Evidence evidence = new Evidence();
     private final Set<MachineId> toUpdate = new LinkedHashSet<>();
     private final BlockReporter reporter;
     private final Commands commands;
@@ -87,10 +88,10 @@
         this.lease = lease;
         this.reporter = new BlockReporter(this);
         this.commands = new Commands(context, this, placements, sessions);
-        this.intake = new Intake(context, this, placements, blame);
+        this.intake = new Intake(context, this, placements, evidence);
         this.views = new MachineViews(context, this, placements, sessions, scheduler);
         this.rooms = new RoomMaker(this, placements, entries, sessions, scheduler);
-        this.givingBack = new GivingBack(context, this, placements, entries, sessions, blame, scheduler);
+        this.givingBack = new GivingBack(context, this, placements, entries, sessions, evidence, scheduler);
         SteadyTime now = context.now();
         for (Machine machine : lease.machines().values()) {
             addMachine(machine, now.plus(context.longestUnconfirmed()));
@@ -195,6 +196,10 @@
         SteadyTime now = context.now();
         boolean ours = false;
         for (JobId job : jobs) {
+            JobRecord record = context.ledger().job(job);
+            if (record == null || record.phase().isFinal()) {
+                evidence.forget(job);
+            }
             if (!placements.hasJob(job)) {
                 continue;
             }
@@ -288,6 +293,9 @@
                 continue; // gathering a gang may have moved it on
             }
             Job job = placement.job();
+            if (givingBack.keepsBack(placement)) {
+                continue;
+            }
             List<TaskId> unit = job.shape() == Shape.GANG ? gatherGang(job) : List.of(placement.task());
             if (unit.isEmpty()) {
                 continue;
@@ -298,11 +306,7 @@
                 entry.avoidFetch();
             }
             if (placement.failures() > 0) {
-                if (givingBack.hasFailedEverywhere(job)) {
-                    givingBack.decline(job, unit);
-                    continue;
-                }
-                entry.avoided().addAll(blame.failedOn(job.id()));
+                entry.avoided().addAll(evidence.failedOn(job.id()));
                 double wait = Math.min(30, 0.5 * Math.pow(2, Math.min(placement.failures(), 6)));
                 SteadyTime ready = context.now().plus(Span.ofSeconds(wait));
                 entry.holdBack(ready);
@@ -316,7 +320,7 @@
 
     /** The jobs that the block should not be given. */
     Set<JobId> declined() {
-        return blame.declined(context.now());
+        return evidence.declined(context.now());
     }
 
     private boolean wouldBeLateByFetch(Job job) {
@@ -326,6 +330,25 @@
                 && Span.ofSeconds(job.imageGb() / type.fetchGbPerS()).isMoreThan(within);
     }
 
+    /** Some machines have been found to fail what they are given. */
+    void callSick(Set<MachineId> machines) {
+        for (MachineId machine : machines) {
+            Session session = sessions.get(machine);
+            if (session != null && !session.isSick()) {
+                LOG.info("block {}: machine {} fails what it is given: no more work there", id(), machine);
+                session.markSick();
+                stir(session);
+                context.newsForLeader();
+            }
+        }
+    }
+
+    /** Whether a task of a job is queued here or on a machine, other than {@code task}. */
+    boolean hasAnotherUnderWay(Placement task) {
+        return placements.ofJob(task.task().job()).stream()
+                .anyMatch(other -> other != task && (other.isBound() || entries.containsKey(other.task())));
+    }
+
     /** Has the queues looked at again at a time, though nothing may have happened by then. */
     void wakeBy(SteadyTime time) {
         if (wakeAt == null || time.isBefore(wakeAt)) {
@@ -468,6 +491,15 @@
         }
     }
 
+    /** For so long no machine was listened to. Their leases ran on all the same. */
+    void excuse(Span gap) {
+        SteadyTime now = context.now();
+        for (Session session : sessions.values()) {
+            SteadyTime heard = session.heard().plus(gap);
+            session.hear(now.isBefore(heard) ? now : heard);
+        }
+    }
+
     /** What a machine that is not heard loses with time, and when that is to be looked at again. */
     private void lookAtSilence(Session session, Span lease, SteadyTime confirmed, SteadyTime now) {
         if (session.state() != Session.State.LOST && confirmed != null && session.leaseIsOver(lease, confirmed)) {
--- a/src/main/java/org/quincecross/block/GivingBack.java
+++ b/src/main/java/org/quincecross/block/GivingBack.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.quincecross.faults.Evidence;
 import org.quincecross.model.Job;
 import org.quincecross.model.MachineId;
 import org.quincecross.model.Shape;
@@ -30,6 +31,8 @@
     private static final Span SURPLUS_PATIENCE = Span.ofSeconds(3);
     private static final Span SURPLUS_EVERY = Span.ofSeconds(1);
     private static final Span CONFIRMED_LATELY = Span.ofSeconds(2);
+    /** A job in doubt is looked at again so often: one task of it is under way, and others wait to know what becomes of that. */
+    private static final Span TRY_AGAIN = Span.ofSeconds(1);
     /** How long work waits for any machine of the block to take work again. */
     private static final Span NONE_OPEN_PATIENCE = Span.ofSeconds(10);
 
@@ -38,7 +41,7 @@
     private final Placements placements;
     private final Map<TaskId, Entry> entries;
     private final Map<MachineId, Session> sessions;
-    private final Blame blame;
+    private final Evidence evidence;
     private final BlockScheduler scheduler;
     private SteadyTime noneOpenSince;
     private SteadyTime surplusAt;
@@ -46,13 +49,13 @@
     private SteadyTime lookAt;
 
     GivingBack(HolderContext context, BlockHolder holder, Placements placements, Map<TaskId, Entry> entries,
-            Map<MachineId, Session> sessions, Blame blame, BlockScheduler scheduler) {
+            Map<MachineId, Session> sessions, Evidence evidence, BlockScheduler scheduler) {
         this.context = context;
         this.holder = holder;
         this.placements = placements;
         this.entries = entries;
         this.sessions = sessions;
-        this.blame = blame;
+        this.evidence = evidence;
         this.scheduler = scheduler;
     }
 
@@ -150,23 +153,40 @@
     }
 
     /** Whether a job has failed on every machine that takes work here. */
-    boolean hasFailedEverywhere(Job job) {
-        Set<MachineId> failedOn = blame.failedOn(job.id());
+    private boolean hasFailedEverywhere(Job job) {
+        Set<MachineId> failedOn = evidence.failedOn(job.id());
         return !failedOn.isEmpty() && sessions.values().stream()
                 .allMatch(session -> failedOn.contains(session.machine().id()) || !holder.isOpen(session));
     }
 
     /**
-     * Gives back work that has failed on all that this block has. One machine that fails what it is given looks from
-     * here like a job that fails wherever it is tried: other blocks tell them apart, and a task that only this block
-     * may have would be tried here for ever. The leader does not give it to this block again for a while.
+     * Whether a task that waits is not to enter a queue now: its job has failed here and run nowhere. Where it has failed on enough
+     * machines, or on all, the block declines it, and all of it that waits goes back; until then one task at a time is tried, on
+     * machines where it has not failed. One machine that fails what it is given looks from here like a job that fails wherever it is
+     * tried: other blocks tell them apart, and a task that only this block may have would be tried here for ever.
      */
-    void decline(Job job, List<TaskId> unit) {
+    boolean keepsBack(Placement placement) {
+        Job job = placement.job();
         SteadyTime now = context.now();
-        LOG.info("block {}: {} has failed on every machine here", holder.id(), job.id());
-        blame.decline(job.id(), now);
-        unit.forEach(task -> placements.get(task).release(now));
-        holder.reporter().headerChanged();
-        context.newsForLeader();
+        if (!evidence.isDoubtful(job.id())) {
+            return false;
+        }
+        if (!evidence.isDeclined(job.id(), now) && placement.failures() > 0
+                && (evidence.isBad(job.id()) || hasFailedEverywhere(job))) {
+            LOG.info("block {}: {} has failed on {} machines here and run on none", holder.id(), job.id(), evidence.failedOn(job.id()).size());
+            evidence.decline(job.id(), now);
+            holder.reporter().headerChanged();
+        }
+        if (evidence.isDeclined(job.id(), now)) {
+            holder.dequeue(placement.task());
+            placement.release(now);
+            context.newsForLeader();
+            return true;
+        }
+        if (job.shape() != Shape.GANG && holder.hasAnotherUnderWay(placement)) {
+            holder.wakeBy(now.plus(TRY_AGAIN));
+            return true;
+        }
+        return false;
     }
 }
--- a/src/main/java/org/quincecross/block/Holdings.java
+++ b/src/main/java/org/quincecross/block/Holdings.java
@@ -90,6 +90,11 @@
         }
     }
 
+    /** For so long no machine was listened to here: that nothing came is no sign of its silence. */
+    public void excuse(Span gap) {
+        holders.values().forEach(holder -> holder.excuse(gap));
+    }
+
     /** How many tasks of a job run in the blocks held here that it is allocated to. */
     public int running(JobId job) {
         int running = 0;
--- a/src/main/java/org/quincecross/block/Intake.java
+++ b/src/main/java/org/quincecross/block/Intake.java
@@ -1,6 +1,7 @@
 package org.quincecross.block;
 
 import java.util.Set;
+import org.quincecross.faults.Evidence;
 import org.quincecross.model.Attempt;
 import org.quincecross.model.JobId;
 import org.quincecross.model.MachineId;
@@ -20,13 +21,13 @@
     private final HolderContext context;
     private final BlockHolder holder;
     private final Placements placements;
-    private final Blame blame;
+    private final Evidence evidence;
 
-    Intake(HolderContext context, BlockHolder holder, Placements placements, Blame blame) {
+    Intake(HolderContext context, BlockHolder holder, Placements placements, Evidence evidence) {
         this.context = context;
         this.holder = holder;
         this.placements = placements;
-        this.blame = blame;
+        this.evidence = evidence;
     }
 
     void takePiece(Session session, Piece piece, SteadyTime now) {
@@ -48,9 +49,8 @@
                 if (!ran && placement.isRunning()) {
                     LOG.debug("block {}: {} runs on {}", holder.id(), placement.task(), machine);
                 }
-                if (placement.isRunning() && now.since(placement.runningSince()).isMoreThan(Span.ofSeconds(10))) {
-                    session.failures().remove(placement.task().job());
-                    blame.succeeded(placement.task().job());
+                if (placement.isRunning() && now.since(placement.runningSince()).isMoreThan(Evidence.STARTED_WELL)) {
+                    holder.callSick(evidence.startedWell(machine, placement.task().job(), placement.runningSince()));
                 }
             }
             return;
@@ -59,8 +59,7 @@
             boolean open = placement.state() != Placement.State.COMPLETED && placement.state() != Placement.State.RELEASED;
             if (open && (ours || placement.state() == Placement.State.UNSETTLED || placement.state() == Placement.State.WAITING)) {
                 holder.dequeue(piece.task());
-                session.failures().clear();
-                blame.succeeded(piece.task().job());
+                holder.callSick(evidence.completed(machine, piece.task().job()));
                 placement.completed(machine, piece.attempt(), now);
                 context.newsForLeader();
             }
@@ -79,11 +78,12 @@
         JobId job = placement.task().job();
         if (piece.cause() == Cause.ERROR) {
             placement.failed();
-            if (blame.failed(session, job)) {
-                LOG.info("block {}: machine {} fails what it is given: no more work there", holder.id(), machine);
-                session.markSick();
-                holder.stir(session);
-                context.newsForLeader();
+            Span ranFor = placement.isRunning() ? now.since(placement.runningSince()) : Span.ZERO;
+            holder.callSick(evidence.failed(machine, job, ranFor, now));
+            if (evidence.isDoubtful(job)) {
+                // What else of it waits is tried one task at a time: it leaves the queues, and enters them again as that allows.
+                placements.ofJob(job).stream().filter(other -> other.state() == Placement.State.WAITING)
+                        .forEach(other -> holder.dequeue(other.task()));
             }
         } else if (piece.cause() == Cause.FULL || piece.cause() == Cause.IN_USE || piece.cause() == Cause.NO_SUCH) {
             LOG.info("block {}: {} refused {}: {}", holder.id(), machine, placement.task(), piece.cause());
--- a/src/main/java/org/quincecross/block/Session.java
+++ b/src/main/java/org/quincecross/block/Session.java
@@ -1,6 +1,5 @@
 package org.quincecross.block;
 
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -8,7 +7,6 @@
 import java.util.Map;
 import java.util.Set;
 import org.quincecross.model.Attempt;
-import org.quincecross.model.JobId;
 import org.quincecross.model.Machine;
 import org.quincecross.model.Resources;
 import org.quincecross.model.Span;
@@ -32,7 +30,6 @@
     private final double cacheGb;
     private final Map<String, Double> images = new LinkedHashMap<>(16, 0.75f, true);
     private final Set<String> fetched = new HashSet<>();
-    private final Map<JobId, Integer> failures = new HashMap<>();
     private final Set<Attempt> startsInFlight = new HashSet<>();
     private final Set<Attempt> startsUnanswered = new HashSet<>();
     private final Set<Attempt> startsInAnswer = new HashSet<>();
@@ -139,10 +136,6 @@
         sick = true;
     }
 
-    Map<JobId, Integer> failures() {
-        return failures;
-    }
-
     boolean hasImage(String image) {
         return images.containsKey(image);
     }
--- a/src/main/java/org/quincecross/emulator/Meter.java
+++ b/src/main/java/org/quincecross/emulator/Meter.java
@@ -3,6 +3,7 @@
 import java.lang.management.ManagementFactory;
 import java.util.Map;
 import java.util.TreeMap;
+import org.quincecross.net.Watched;
 
 /**
  * What controllers cost, by what they were called for: how often, processor time, bytes allocated. Everything in a virtual
@@ -52,7 +53,8 @@
             action.run();
             return;
         }
-        String name = action.getClass().getName();
+        Runnable named = action instanceof Watched.Step ? ((Watched.Step) action).action() : action;
+        String name = named.getClass().getName();
         int lambda = name.indexOf("$$");
         String owner = lambda < 0 ? name : name.substring(0, lambda);
         run("timer " + owner.substring(owner.lastIndexOf('.') + 1), action);
--- a/src/main/java/org/quincecross/emulator/Users.java
+++ b/src/main/java/org/quincecross/emulator/Users.java
@@ -39,6 +39,8 @@
     private final Map<JobId, Double> overAfter = new HashMap<>();
     private final Map<String, Integer> answers = new TreeMap<>();
     private final Map<String, Double> longest = new TreeMap<>();
+    private final Map<JobId, Integer> mistakes = new TreeMap<>();
+    private double pollsFaster = 1;
 
     Users(Surroundings around) {
         this.around = around;
@@ -54,6 +56,44 @@
         jobs.put(job.id(), job);
     }
 
+    /** Submits a job that fails on every machine as soon as it runs there. */
+    JobId submitMistaken(Job job) {
+        mistakes.put(job.id(), 0);
+        return submit(job);
+    }
+
+    boolean isMistaken(JobId id) {
+        return mistakes.containsKey(id);
+    }
+
+    void mistakeMade(JobId id) {
+        mistakes.merge(id, 1, Integer::sum);
+    }
+
+    /** How often tasks of each job with a mistake were tried. */
+    Map<JobId, Integer> mistakes() {
+        return mistakes;
+    }
+
+    /** For a while users ask so many times as often, and as often again for jobs that nobody submitted. */
+    void storm(double factor, double seconds) {
+        pollsFaster = factor;
+        askForUnknown(around.clock().seconds() + seconds);
+        around.clock().after(seconds, () -> pollsFaster = 1);
+    }
+
+    private void askForUnknown(double untilS) {
+        if (around.clock().seconds() < untilS) {
+            JobId id = new JobId("job-" + (800_000 + random.nextInt(100_000)));
+            ask("poll unknown", HttpRequest.get(JobCodec.JOBS + "/" + id), POLL_TIMEOUT_S, outcome -> {
+                if (outcome.status() == 200) {
+                    throw new IllegalStateException("invented " + id);
+                }
+            });
+            around.clock().after(POLL_EVERY_S / pollsFaster / Math.max(1, told.size()), () -> askForUnknown(untilS));
+        }
+    }
+
     /** How many jobs have been submitted here. */
     int submitted() {
         return submittedAt.size();
@@ -196,7 +236,7 @@
             }
             boolean atSize = !around.site().classes().isEmpty();
             if (!atSize || !told.get(id).equals("done") && !told.get(id).equals("cancelled")) {
-                around.clock().after(atSize ? POLL_EVERY_AT_SIZE_S : POLL_EVERY_S, () -> poll(id));
+                around.clock().after((atSize ? POLL_EVERY_AT_SIZE_S : POLL_EVERY_S) / pollsFaster, () -> poll(id));
             }
         });
     }
--- a/src/main/java/org/quincecross/emulator/VirtualNet.java
+++ b/src/main/java/org/quincecross/emulator/VirtualNet.java
@@ -19,6 +19,7 @@
     private final Map<Endpoint, String> names = new HashMap<>();
     private final Map<Set<String>, Double> cutUntil = new HashMap<>();
     private final Set<Set<String>> losing = new HashSet<>();
+    private final Map<String, Double> silentUntil = new HashMap<>();
 
     VirtualNet(VirtualTime time, Random random) {
         this.time = time;
@@ -52,9 +53,21 @@
         }
     }
 
+    /** A host says nothing and hears nothing; connections to it hang. */
+    void silence(String name, double untilS) {
+        silentUntil.put(name, untilS);
+    }
+
+    boolean isSilent(String name) {
+        return !silentUntil.isEmpty() && silentUntil.getOrDefault(name, 0.0) > time.seconds();
+    }
+
     /** Seconds until a packet arrives, or a negative number if it never does. */
     double delay(String from, String to) {
         double delay = 0.001 + random.nextDouble() * 0.004 + (random.nextInt(100) == 0 ? random.nextDouble() * 3 : 0);
+        if (isSilent(from) || isSilent(to)) {
+            return -1;
+        }
         if (cutUntil.isEmpty()) {
             return delay;
         }
@@ -69,6 +82,9 @@
     }
 
     private boolean isCut(String from, String to) {
+        if (isSilent(from) || isSilent(to)) {
+            return true;
+        }
         if (cutUntil.isEmpty()) {
             return false;
         }
--- a/src/main/java/org/quincecross/emulator/Worker.java
+++ b/src/main/java/org/quincecross/emulator/Worker.java
@@ -24,6 +24,8 @@
 final class Worker implements Network.Host {
     private static final double NO_ANSWER_S = 4;
     private static final double FAILS_AFTER_S = 0.3;
+    /** A job with a mistake fails as soon as it runs. */
+    private static final double MISTAKE_AFTER_S = 0.001;
     private static final double LEAST_BETWEEN_REPORTS_S = 0.5;
     /** A lease that runs out is noticed so much later at the most. */
     private static final double LEASE_LOOK_S = 0.05;
@@ -353,9 +355,13 @@
         task.runningFrom = clock.seconds();
         task.ran = true;
         beatLater(0.5);
-        if (traits.sick()) {
-            after(FAILS_AFTER_S, () -> {
+        boolean mistaken = around.users().isMistaken(job.id());
+        if (traits.sick() || mistaken) {
+            after(mistaken ? MISTAKE_AFTER_S : FAILS_AFTER_S, () -> {
                 if (tasks.get(key) == task && !task.isOver()) {
+                    if (mistaken) {
+                        around.users().mistakeMade(job.id());
+                    }
                     exit(key, task, "error");
                 }
             });
--- a/src/main/java/org/quincecross/emulator/World.java
+++ b/src/main/java/org/quincecross/emulator/World.java
@@ -2,18 +2,23 @@
 
 import java.util.Arrays;
 import java.util.Collections;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.stream.IntStream;
 import org.quincecross.api.Controller;
+import org.quincecross.api.PeerSender;
 import org.quincecross.http.HttpRequest;
 import org.quincecross.http.HttpResponse;
 import org.quincecross.model.Endpoint;
 import org.quincecross.model.Job;
 import org.quincecross.model.JobId;
+import org.quincecross.model.MemberId;
 import org.quincecross.model.Team;
 import org.quincecross.rollout.Build;
 import org.quincecross.wire.BadMessage;
@@ -42,6 +47,9 @@
     private final Map<String, Double> longestAnswers = new TreeMap<>();
     private final Life[] lives;
     private final Controller[] controllers;
+    /** Connections between controllers that something was sent on while the other side was silent. */
+    private final Set<String> hanging = new HashSet<>();
+    private final Map<String, Double> hangsUntil = new HashMap<>();
 
     /** A small site with odd machines and a state service that now and then applies a transaction late. */
     World(long seed) {
@@ -158,15 +166,43 @@
         controllers[node] = new Controller(time.timersOf(life, random.nextInt(1_000_000_000), 1 + 0.0005 * random.nextDouble(), meter),
                 (to, request, timeout, done) -> net.call(life, name, to, request, timeout,
                         outcome -> time.whenAwake(life, () -> meter.run("answer " + kind(request.path()), () -> done.accept(outcome)))),
-                (peer, frame) -> {
+                peerLinks(name), site.settings(node, nodes, nodes, CLOUD, STATE), features[node], () -> (long) ((time.seconds() + clockAheadS) * 1000), () -> memoryIsShort);
+        meter.run("start", controllers[node]::start);
+    }
+
+    private PeerSender peerLinks(String name) {
+        return new PeerSender() {
+            @Override
+            public boolean send(MemberId peer, byte[] frame) {
+                int other = Integer.parseInt(peer.text().substring(1));
+                if (net.isSilent(peer.text())) {
+                    hanging.add(name + " " + peer);
+                }
+                // Tried again by TCP only when as much time has passed again as the silence took; a new connection is quicker.
+                boolean hangs = hanging.contains(name + " " + peer) && time.seconds() < hangsUntil.getOrDefault(peer.text(), 0.0);
+                if (!hangs) {
                     net.send(name, peer.text(), () -> {
-                        int other = Integer.parseInt(peer.text().substring(1));
                         Controller to = controllers[other];
                         time.whenAwake(lives[other], () -> meter.run("peer report", () -> to.frame(frame)));
                     });
-                    return true;
-                }, site.settings(node, nodes, nodes, CLOUD, STATE), features[node], () -> (long) ((time.seconds() + clockAheadS) * 1000), () -> memoryIsShort);
-        meter.run("start", controllers[node]::start);
+                }
+                return true;
+            }
+
+            @Override
+            public void renew(MemberId peer) {
+                hanging.remove(name + " " + peer);
+            }
+        };
+    }
+
+    /** A controller says nothing and hears nothing for a while, then is back, with its memory or started anew without. */
+    void silence(int node, double seconds, boolean keepsMemory) {
+        net.silence(Site.nodeName(node), time.seconds() + seconds);
+        hangsUntil.put(Site.nodeName(node), time.seconds() + 2 * seconds);
+        if (!keepsMemory) {
+            down(node, seconds);
+        }
     }
 
     void crash(int node) {
--- a/src/main/java/org/quincecross/leader/Demands.java
+++ b/src/main/java/org/quincecross/leader/Demands.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.LongSupplier;
+import java.util.function.ToIntFunction;
+import org.quincecross.faults.Suspects;
 import org.quincecross.model.Aim;
 import org.quincecross.model.Job;
 import org.quincecross.model.JobId;
@@ -15,6 +17,7 @@
 import org.quincecross.model.Shape;
 import org.quincecross.model.Span;
 import org.quincecross.model.SteadyTime;
+import org.quincecross.model.TaskSet;
 import org.quincecross.overload.Claim;
 import org.quincecross.overload.Goal;
 import org.quincecross.overload.Overload;
@@ -39,6 +42,8 @@
     private final Books books;
     private final LongSupplier clockMs;
     private final Overload overload;
+    private final ToIntFunction<JobId> running;
+    private final Suspects suspects = new Suspects();
     private final Map<JobId, Age> ages = new HashMap<>();
 
     /** How old a job was when it was first looked at here, when that was, and what is expected of it. */
@@ -48,26 +53,57 @@
     /**
      * @param clockMs tells the time of day
      * @param overload null where work is ordered by due time alone
+     * @param running how many tasks of a job run, as their holders say
      */
-    Demands(Ledger ledger, Settings settings, Books books, LongSupplier clockMs, Overload overload) {
+    Demands(Ledger ledger, Settings settings, Books books, LongSupplier clockMs, Overload overload, ToIntFunction<JobId> running) {
         this.ledger = ledger;
         this.settings = settings;
         this.books = books;
         this.clockMs = clockMs;
         this.overload = overload;
+        this.running = running;
+        books.listen((job, more, reached) -> suspects.given(job));
         if (overload != null) {
             books.listen((job, more, reached) -> overload.given(job, more));
         }
     }
 
-    /** A job with tasks in the pool. */
-    private record Waiting(JobRecord record, Books.Account account, boolean guaranteed) {
+    /** A job with tasks in the pool, {@code pool} of which may be admitted now. */
+    private record Waiting(JobRecord record, Books.Account account, TaskSet pool, boolean guaranteed) {
+    }
+
+    /** Why nothing of a job is admitted though it waits, in words; null where it is none that fails wherever it is tried. */
+    String heldBack(JobId job) {
+        Suspects.State state = suspects.of(job);
+        return state == null ? null : switch (state) {
+            case PAUSED -> "failed wherever it was tried, to be tried again with one task";
+            case TO_BE_TRIED, ON_TRIAL -> "failed wherever it was tried, one task is being tried again";
+        };
+    }
+
+    /** What may be admitted of a job that waits: all, or where blocks have declined it, what tries it anew. */
+    private TaskSet mayGo(Books.Account account, Collection<Admission.Block> blocks, SteadyTime now) {
+        Job job = account.job();
+        int declinedBy = Admission.declines(job, blocks);
+        if (declinedBy == 0 && !suspects.isSuspect(job.id())) {
+            return account.pool();
+        }
+        int most = suspects.mayGo(new Suspects.Look(job.id(), declinedBy, Admission.couldGoTo(job, blocks), account.done().size(),
+                account.out().size(), running.applyAsInt(job.id())), now);
+        if (most >= account.pool().size() || most > 0 && job.shape() == Shape.GANG) {
+            return account.pool();
+        }
+        TaskSet first = new TaskSet();
+        if (most > 0) {
+            first.add(account.pool().next(0));
+        }
+        return first;
     }
 
     /** All that waits; of a job that has its turn for some of its tasks, these first. */
     List<Admission.Demand> demands(Collection<Admission.Block> blocks, SteadyTime now) {
         List<Admission.Demand> demands = new ArrayList<>();
-        List<Waiting> waiting = waiting();
+        List<Waiting> waiting = waiting(blocks, now);
         if (overload == null) {
             for (Waiting each : waiting) {
                 demands.add(inOrder(each, dueS(each.account.job(), age(each.record), settings.aims(each.account.job()))));
@@ -96,8 +132,9 @@
         return demands;
     }
 
-    private List<Waiting> waiting() {
+    private List<Waiting> waiting(Collection<Admission.Block> blocks, SteadyTime now) {
         List<Waiting> waiting = new ArrayList<>();
+        suspects.keepOnly(books.openIds());
         if (books.waiting().isEmpty()) {
             return waiting;
         }
@@ -109,8 +146,9 @@
                 return;
             }
             boolean within = guarantee.covers(account.job().each(), account.job().tasks() - account.done().size());
-            if (!account.pool().isEmpty()) {
-                waiting.add(new Waiting(record, account, within));
+            TaskSet pool = account.pool().isEmpty() ? account.pool() : mayGo(account, blocks, now);
+            if (!pool.isEmpty()) {
+                waiting.add(new Waiting(record, account, pool, within));
             }
         });
         return waiting;
@@ -122,7 +160,7 @@
 
     private Admission.Demand demand(Waiting each, double dueS, Admission.Place place, double order) {
         Job job = each.account.job();
-        return new Admission.Demand(job, each.record.version(), dueS, each.guaranteed, isHurried(job), each.account.pool(),
+        return new Admission.Demand(job, each.record.version(), dueS, each.guaranteed, isHurried(job), each.pool,
                 each.account.perZone(), place, order);
     }
 
@@ -133,7 +171,7 @@
         double share = job.each().shareOf(room.most(job.each()));
         double run = Math.max(1, job.estimate().seconds());
         return new Claim(job.id(), new Claim.Group(job.team(), job.jobClass()), job.rank(), each.guaranteed, each.record.version(),
-                each.account.pool().size(), job.shape() != Shape.GANG, share * run, TAIL * run, age, goals(job, age));
+                each.pool.size(), job.shape() != Shape.GANG, share * run, TAIL * run, age, goals(job, age));
     }
 
     /** What a team is guaranteed, and what its jobs come to that were accepted so far: looked at for every open job. */
--- a/src/main/java/org/quincecross/leader/Leader.java
+++ b/src/main/java/org/quincecross/leader/Leader.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import org.quincecross.model.BlockId;
 import org.quincecross.model.Job;
@@ -88,6 +89,7 @@
     private final Overload overload;
     private final Demands demands;
     private final PeerViews views;
+    private final BooleanSupplier isWaking;
     private final Books books;
     private final Map<BlockId, Admission.Block> admissionBlocks = new TreeMap<>();
     private final Set<BlockId> toLookAt = new HashSet<>();
@@ -114,10 +116,12 @@
 
     /**
      * @param clockMs tells the time of day
+     * @param isWaking whether this process has stood still, and has not been told since how things are
      * @param overload null where work is ordered by due time alone
      */
     public Leader(Timers timers, StateClient client, Ledger ledger, Follower follower, Membership membership,
-            Settings settings, Fleet fleet, Foresight foresight, PeerViews views, LongSupplier clockMs, Overload overload) {
+            Settings settings, Fleet fleet, Foresight foresight, PeerViews views, LongSupplier clockMs, BooleanSupplier isWaking,
+            Overload overload) {
         this.timers = timers;
         this.client = client;
         this.ledger = ledger;
@@ -127,6 +131,7 @@
         this.fleet = fleet;
         this.foresight = foresight;
         this.views = views;
+        this.isWaking = isWaking;
         this.books = new Books(ledger);
         this.fresh = new FreshViews(timers, ledger, views);
         this.levels = new LevelSwitch(ledger, settings, membership);
@@ -134,7 +139,7 @@
         this.leases = new Leases(timers, ledger, settings, fleet, foresight, books, fresh, allocations);
         this.results = new Results(timers, ledger, views, books);
         this.overload = overload;
-        this.demands = new Demands(ledger, settings, books, clockMs, overload);
+        this.demands = new Demands(ledger, settings, books, clockMs, overload, this::running);
         this.planned = timers.now();
         this.swept = timers.now();
     }
@@ -197,6 +202,11 @@
         books.listen(listener);
     }
 
+    /** Steps a moment from now, whatever has happened. */
+    public void lookAgain() {
+        soon(true);
+    }
+
     /** Takes note of what others have allocated: a leader does so as it plans. */
     public void lookAtBooks() {
         books.waiting();
@@ -215,6 +225,17 @@
         return heldBack;
     }
 
+    /** How many tasks of a job run, as the holders of their blocks have told lately. */
+    private int running(JobId job) {
+        int running = 0;
+        for (BlockId id : ledger.blocksOf(job)) {
+            BlockLease lease = ledger.block(id);
+            PeerViews.BlockView view = lease == null ? null : fresh.of(lease);
+            running += view == null ? 0 : view.running().getOrDefault(job, 0);
+        }
+        return running;
+    }
+
     /** What is known of an overload; null where work is ordered by due time alone, or nobody leads here. */
     public Overload overload() {
         return isLeading() ? overload : null;
@@ -240,6 +261,10 @@
         if (job.shape() == Shape.GANG && account.pool().size() < job.tasks()) {
             return what + "the rest of the gang is still in a block";
         }
+        String heldBack = demands.heldBack(id);
+        if (heldBack != null) {
+            return what + heldBack;
+        }
         long declines = views.all().stream().flatMap(view -> view.blocks().values().stream())
                 .filter(block -> block.declined().contains(id)).count();
         if (declines > 0) {
@@ -288,7 +313,7 @@
     }
 
     private void step() {
-        if (!ledger.isLoaded() || writing) {
+        if (!ledger.isLoaded() || writing || isWaking.getAsBoolean()) {
             return;
         }
         if (awaited.isAfter(ledger.revision())) {
--- a/src/main/java/org/quincecross/leader/Leases.java
+++ b/src/main/java/org/quincecross/leader/Leases.java
@@ -1,6 +1,7 @@
 package org.quincecross.leader;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -22,6 +23,7 @@
 import org.quincecross.net.Timers;
 import org.quincecross.peer.PeerReport;
 import org.quincecross.peer.PeerViews;
+import org.quincecross.silence.Hearing;
 import org.quincecross.state.BlockLease;
 import org.quincecross.state.Foresight;
 import org.quincecross.state.Keys;
@@ -56,6 +58,7 @@
     private final Books books;
     private final FreshViews fresh;
     private final Allocations allocations;
+    private final Hearing hearing = new Hearing();
     private final Map<MachineId, Machine> newcomers = new LinkedHashMap<>();
     private SteadyTime rebalanced;
 
@@ -103,7 +106,9 @@
      */
     private double cost(MemberRecord member, String zone, Map<MemberId, Integer> load) {
         double average = (double) ledger.machineCount() / ledger.members().size();
-        return load.getOrDefault(member.member(), 0) + (member.zone().equals(zone) ? 0 : Math.max(LEAST_AWAY, AWAY * average));
+        // Where nobody hears the machines, one who does not is as good as another.
+        double deaf = hearing.of(member.member(), zone, timers.now()) == Hearing.State.HEARS ? 0 : ledger.machineCount() + LEAST_AWAY;
+        return deaf + load.getOrDefault(member.member(), 0) + (member.zone().equals(zone) ? 0 : Math.max(LEAST_AWAY, AWAY * average));
     }
 
     private Map<MemberId, Integer> machinesHeld() {
@@ -178,23 +183,53 @@
 
     /** A holder whose machines report to another controller is cut off from them: that one gets the block. */
     private void rescueUnheard(Map<BlockId, BlockLease> next, Set<BlockId> deleted) {
-        Map<BlockId, Map<MemberId, Integer>> hearing = new HashMap<>();
+        Map<BlockId, Map<MemberId, Integer>> heardBy = new HashMap<>();
         for (MemberRecord member : members()) {
             PeerViews.View view = fresh.of(member.member());
             for (MachineId machine : view == null ? Set.<MachineId>of() : view.strays()) {
                 BlockLease block = ledger.blockOf(machine);
                 if (block != null && !block.holder().equals(member.member()) && isSilent(block, machine)) {
-                    hearing.computeIfAbsent(block.id(), id -> new TreeMap<>()).merge(member.member(), 1, Integer::sum);
+                    heardBy.computeIfAbsent(block.id(), id -> new TreeMap<>()).merge(member.member(), 1, Integer::sum);
                 }
             }
         }
-        hearing.forEach((id, members) -> members.forEach((member, machines) -> {
+        heardBy.forEach((id, members) -> {
             BlockLease block = ledger.block(id);
+            // The machines may have gone to several controllers: that half of them are heard elsewhere is what counts.
+            int machines = members.values().stream().mapToInt(Integer::intValue).sum();
             if (machines * 2 > block.machines().size() && !next.containsKey(id) && !deleted.contains(id)) {
+                MemberId member = Collections.max(members.entrySet(), Map.Entry.comparingByValue()).getKey();
                 LOG.info("block {} goes from {}, which does not hear it, to {}", id, block.holder(), member);
+                hearing.missed(block.holder(), block.zone(), timers.now());
                 next.put(id, block.heldBy(ledger.members().get(member)));
             }
-        }));
+        });
+    }
+
+    /**
+     * Gives controllers that did not hear the machines of a zone the smallest block there to try, once their pause is over; and
+     * takes note of what becomes of trials.
+     */
+    private void tryTheDeaf(Map<BlockId, BlockLease> next) {
+        SteadyTime now = timers.now();
+        Map<String, BlockLease> smallest = new TreeMap<>();
+        for (BlockLease block : ledger.blocks().values()) {
+            PeerViews.BlockView view = fresh.of(block);
+            if (view != null && obeysItsHolder(view)) {
+                hearing.heard(block.holder(), block.zone(), now);
+                smallest.merge(block.zone(), block, (one, other) -> other.machines().size() < one.machines().size() ? other : one);
+            }
+        }
+        for (MemberRecord member : members()) {
+            smallest.forEach((zone, block) -> {
+                if (hearing.of(member.member(), zone, now) == Hearing.State.TO_BE_TRIED && !block.holder().equals(member.member())
+                        && !next.containsKey(block.id())) {
+                    LOG.info("block {} goes from {} to {}, to see whether that hears it now", block.id(), block.holder(), member.member());
+                    hearing.given(member.member(), zone, now);
+                    next.put(block.id(), block.heldBy(member));
+                }
+            });
+        }
     }
 
     /**
@@ -233,6 +268,7 @@
             return;
         }
         rebalanced = timers.now();
+        tryTheDeaf(next);
         for (BlockLease block : ledger.blocks().values()) {
             MemberRecord holder = ledger.members().get(block.holder());
             MemberRecord better = chooseHolder(block.zone(), load);
--- a/src/main/java/org/quincecross/net/FrameSender.java
+++ b/src/main/java/org/quincecross/net/FrameSender.java
@@ -39,6 +39,13 @@
         return false;
     }
 
+    /** Lets go of the connection: the next frame goes out on a new one. */
+    public void renew() {
+        if (connection != null && connection.state() == Connection.State.OPEN) {
+            dropConnection();
+        }
+    }
+
     private void connect() {
         try {
             Connection made = Connection.connect(loop, to, new Connection.Sink() {
--- a/src/main/java/org/quincecross/net/FrameServer.java
+++ b/src/main/java/org/quincecross/net/FrameServer.java
@@ -7,7 +7,12 @@
 import java.nio.channels.SelectionKey;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
 import org.quincecross.model.Endpoint;
+import org.quincecross.model.Span;
+import org.quincecross.model.SteadyTime;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -16,6 +21,9 @@
     /** The longest frame that is taken; a longer one ends its connection. */
     static final int MOST_FRAME = 1024 * 1024;
     private static final int MOST_CONNECTIONS = 32;
+    /** Whoever is there says something twice a second: a connection that is quiet for longer is one that nobody has any more. */
+    private static final Span IDLE = Span.ofSeconds(20);
+    private static final Span SWEEP_EVERY = Span.ofSeconds(5);
     private static final Logger LOG = LoggerFactory.getLogger(FrameServer.class);
 
     /** Takes frames; false ends the connection that the frame came on. */
@@ -26,7 +34,7 @@
     private final Loop loop;
     private final Handler handler;
     private final ServerSocketChannel channel;
-    private int connections;
+    private final Set<Receiver> receivers = new LinkedHashSet<>();
 
     public FrameServer(Loop loop, Endpoint listen, Handler handler) throws IOException {
         this.loop = loop;
@@ -35,6 +43,16 @@
         channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
         channel.bind(new InetSocketAddress(listen.host(), listen.port()));
         loop.register(channel, SelectionKey.OP_ACCEPT, this);
+        loop.every(SWEEP_EVERY, this::sweep);
+    }
+
+    private void sweep() {
+        SteadyTime now = loop.now();
+        for (Receiver receiver : List.copyOf(receivers)) {
+            if (now.since(receiver.heard).isMoreThan(IDLE)) {
+                receiver.end("quiet");
+            }
+        }
     }
 
     @Override
@@ -43,12 +61,11 @@
         if (socket == null) {
             return;
         }
-        if (connections >= MOST_CONNECTIONS) {
+        if (receivers.size() >= MOST_CONNECTIONS) {
             socket.close();
             return;
         }
-        connections++;
-        new Receiver(socket);
+        receivers.add(new Receiver(socket));
     }
 
     @Override
@@ -59,6 +76,7 @@
     private final class Receiver implements Connection.Sink {
         private final Connection connection;
         private ByteBuffer rest = ByteBuffer.allocate(0);
+        private SteadyTime heard = loop.now();
 
         Receiver(SocketChannel socket) throws IOException {
             connection = new Connection(loop, socket, this, true);
@@ -66,6 +84,7 @@
 
         @Override
         public void received(ByteBuffer bytes) {
+            heard = loop.now();
             ByteBuffer joined = ByteBuffer.allocate(rest.remaining() + bytes.remaining()).put(rest).put(bytes).flip();
             while (joined.remaining() >= 4) {
                 int length = joined.getInt(joined.position());
@@ -95,7 +114,7 @@
 
         @Override
         public void closed() {
-            connections--;
+            receivers.remove(this);
         }
     }
 }
--- a/src/main/java/org/quincecross/net/HttpClient.java
+++ b/src/main/java/org/quincecross/net/HttpClient.java
@@ -89,6 +89,13 @@
         });
     }
 
+    private void forget(Endpoint to) {
+        ArrayDeque<Line> lines = kept.remove(to);
+        if (lines != null) {
+            lines.forEach(line -> line.connection.close());
+        }
+    }
+
     private void arm() {
         while (!deadlines.isEmpty() && !deadlines.peek().isOpen()) {
             deadlines.poll();
@@ -110,6 +117,8 @@
         while (!deadlines.isEmpty() && !now.isBefore(deadlines.peek().at())) {
             Deadline next = deadlines.poll();
             if (next.isOpen()) {
+                // What is silent now was silent for the connections that are kept to it, too: each would cost another wait.
+                forget(next.line().to);
                 next.line().finish(HttpOutcome.failed(next.line().sent), false);
             }
         }
--- a/src/main/java/org/quincecross/peer/PeerViews.java
+++ b/src/main/java/org/quincecross/peer/PeerViews.java
@@ -162,6 +162,11 @@
         }
     }
 
+    /** For so long nobody was listened to here: that nothing came is no sign of who did not speak. */
+    public void excuse(Span gap) {
+        views.values().forEach(view -> view.at = view.at.plus(gap));
+    }
+
     /** What has been received of each controller, for it to know. */
     public Map<MemberId, PeerReport.Receipt> receipts() {
         Map<MemberId, PeerReport.Receipt> receipts = new HashMap<>();
--- a/src/main/java/org/quincecross/program/Server.java
+++ b/src/main/java/org/quincecross/program/Server.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import org.quincecross.api.Controller;
+import org.quincecross.api.PeerSender;
 import org.quincecross.model.MemberId;
 import org.quincecross.net.FrameSender;
 import org.quincecross.net.FrameServer;
@@ -35,8 +36,19 @@
         for (Settings.Sibling sibling : settings.siblings()) {
             peers.put(sibling.member(), new FrameSender(loop, sibling.endpoint()));
         }
-        Controller controller = new Controller(loop, new HttpClient(loop), (to, frame) -> peers.get(to).send(frame),
-                settings, features, System::currentTimeMillis, new HeapWatch());
+        PeerSender sender = new PeerSender() {
+            @Override
+            public boolean send(MemberId to, byte[] frame) {
+                return peers.get(to).send(frame);
+            }
+
+            @Override
+            public void renew(MemberId to) {
+                peers.get(to).renew();
+            }
+        };
+        Controller controller = new Controller(loop, new HttpClient(loop), sender, settings, features,
+                System::currentTimeMillis, new HeapWatch());
         int sockets = settings.quota().sockets();
         new HttpServer(loop, settings.listen(), Math.max(sockets / 2, sockets - SOCKETS_KEPT), controller);
         new FrameServer(loop, settings.peerListen(), controller::frame);
--- a/src/main/java/org/quincecross/sched/Admission.java
+++ b/src/main/java/org/quincecross/sched/Admission.java
@@ -345,7 +345,7 @@
             PriorityQueue<Choice> from = bound ? choices(demand, perZone) : choices;
             Choice best = from.poll();
             if (best == null) {
-                int declines = declines(job);
+                int declines = declines(job, blocks);
                 if (alike != null && declines == 0) {
                     withoutRoom.computeIfAbsent(alike, a -> new ArrayList<>()).add(job.each());
                 }
@@ -434,7 +434,7 @@
             if (demand.place() == Place.TURN) {
                 keepBlockFor(job);
             }
-            return isBad(declines(job)) ? 0 : job.tasks();
+            return isBad(declines(job, blocks)) ? 0 : job.tasks();
         }
         for (int index = 0; index < job.tasks(); index++) {
             admit(job, index, best);
@@ -471,8 +471,21 @@
     }
 
     /** How many blocks a job has failed in. */
-    private int declines(Job job) {
-        return (int) blocks.stream().filter(block -> block.declined.contains(job.id())).count();
+    public static int declines(Job job, Collection<Block> blocks) {
+        int declines = 0;
+        for (Block block : blocks) {
+            declines += block.declined.contains(job.id()) ? 1 : 0;
+        }
+        return declines;
+    }
+
+    /** How many blocks have machines that a job's tasks may go to, whatever else is there. */
+    public static int couldGoTo(Job job, Collection<Block> blocks) {
+        int count = 0;
+        for (Block block : blocks) {
+            count += job.allows(block.type, block.zone, block.spot) && job.each().fitsIn(block.machine) ? 1 : 0;
+        }
+        return count;
     }
 
     /** Whether the fault is the job's: nobody should rent machines for it to fail on. */
