--- a/src/main/java/org/quincecross/api/Submissions.java
+++ b/src/main/java/org/quincecross/api/Submissions.java
@@ -1,18 +1,20 @@
 package org.quincecross.api;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.quincecross.model.Incarnation;
 import org.quincecross.model.Job;
+import org.quincecross.model.JobId;
 import org.quincecross.model.MemberId;
 import org.quincecross.model.Revision;
 import org.quincecross.model.Span;
 import org.quincecross.model.SteadyTime;
 import org.quincecross.net.Timers;
+import org.quincecross.sched.Turns;
 import org.quincecross.state.Follower;
 import org.quincecross.state.JobRecord;
 import org.quincecross.state.Keys;
@@ -37,6 +39,16 @@
     /** The longest that a user is left without an answer, who waits 5 s for it. */
     static final Span ANSWERED = Span.ofSeconds(3.2);
     private static final Span RETRY = Span.ofMillis(120);
+    /** What would be written later than this is not taken: its user is told when to come back instead of waiting in vain. */
+    private static final Span LONGEST_QUEUE = Span.ofSeconds(1.2);
+    /** Users come back for a minute in all, so they had better be let come several times. */
+    private static final int LONGEST_RETRY_S = 8;
+    /** So many of each team may wait however many others do: they have their turns. */
+    private static final int ALWAYS_TAKEN = 4;
+    /** Before any was written: of the changes a second, what may go to new jobs, and how many of them share one. */
+    private static final double JOBS_PER_CHANGE = 4;
+    /** The weight of the last change in what a job takes to be written. */
+    private static final double LATEST = 0.3;
     private static final int MOST_BYTES = 40 * 1024;
     private static final int VALUE_MARGIN = 64;
 
@@ -52,6 +64,9 @@
     private record Pending(Job job, long acceptedMs, SteadyTime since, Consumer<Outcome> done) {
     }
 
+    /** Those whose submission of the same job waits for the same outcome. */
+    private final Map<JobId, List<Consumer<Outcome>>> pending = new HashMap<>();
+
     private final Timers timers;
     private final StateClient client;
     private final Follower follower;
@@ -59,8 +74,12 @@
     private final Supplier<Incarnation> life;
     private final int mostChanges;
     private final int mostValue;
-    private final ArrayDeque<Pending> waiting = new ArrayDeque<>();
+    /** By team: a swarm of jobs of one has its own jobs wait. */
+    private final Turns<String, Pending> waiting = new Turns<>();
     private boolean writing;
+    private int underWay;
+    private double secondsPerJob;
+    private final Map<String, SteadyTime> spokenForUntil = new HashMap<>();
     private long bundles;
 
     Submissions(Timers timers, StateClient client, Follower follower, MemberId member, Supplier<Incarnation> life,
@@ -72,10 +91,41 @@
         this.life = life;
         this.mostChanges = limits.txnChanges();
         this.mostValue = limits.valueBytes() - VALUE_MARGIN;
+        this.secondsPerJob = 1 / (limits.writesPerS() * JOBS_PER_CHANGE);
+    }
+
+    /**
+     * In how many seconds a new job of a team had better come back, because it would wait too long here; 0 where it would not. Each
+     * who is told so is told a later time, so that they do not all come at once.
+     */
+    int comeBackInS(String team) {
+        if (waiting.size(team) < ALWAYS_TAKEN) {
+            return 0;
+        }
+        SteadyTime now = timers.now();
+        Span wait = Span.ofSeconds((underWay + waiting.ahead(team)) * secondsPerJob);
+        if (!wait.isMoreThan(LONGEST_QUEUE)) {
+            return 0;
+        }
+        SteadyTime free = now.plus(wait);
+        SteadyTime spokenFor = spokenForUntil.getOrDefault(team, free);
+        SteadyTime at = spokenFor.isBefore(free) ? free : spokenFor;
+        spokenForUntil.put(team, at.plus(Span.ofSeconds(secondsPerJob)));
+        return (int) Math.max(1, Math.min(LONGEST_RETRY_S, Math.ceil(at.since(now).seconds())));
     }
 
     void submit(Job job, long nowMs, Consumer<Outcome> done) {
-        waiting.add(new Pending(job, nowMs, timers.now(), done));
+        List<Consumer<Outcome>> others = pending.get(job.id());
+        if (others != null) {
+            others.add(done); // asked for again before it was written: once is enough
+            return;
+        }
+        List<Consumer<Outcome>> all = new ArrayList<>(List.of(done));
+        pending.put(job.id(), all);
+        waiting.add(job.team(), new Pending(job, nowMs, timers.now(), outcome -> {
+            pending.remove(job.id());
+            all.forEach(each -> each.accept(outcome));
+        }));
         flush();
     }
 
@@ -84,7 +134,9 @@
             return;
         }
         // Whoever asked has been answered: the repetition will be written.
-        waiting.removeIf(pending -> timers.now().since(pending.since()).isMoreThan(ANSWERED));
+        List<Pending> late = new ArrayList<>();
+        waiting.takeIf(each -> timers.now().since(each.since()).isMoreThan(ANSWERED), late::add);
+        late.forEach(each -> each.done().accept(Outcome.REFUSED));
         if (waiting.isEmpty()) {
             return;
         }
@@ -95,15 +147,15 @@
         }
     }
 
-    private void writeOne(Pending pending) {
-        String key = Keys.job(pending.job().id());
+    private void writeOne(Pending one) {
+        String key = Keys.job(one.job().id());
         write(List.of(new Guard(key, Revision.NONE)),
-                List.of(Change.put(key, JobRecord.open(pending.job(), pending.acceptedMs()))), outcome -> {
+                List.of(Change.put(key, JobRecord.open(one.job(), one.acceptedMs()))), 1, outcome -> {
                     switch (outcome.kind()) {
-                        case COMMITTED -> pending.done().accept(Outcome.ACCEPTED);
-                        case CONFLICT, UNKNOWN -> end(pending);
-                        case UNAVAILABLE -> pending.done().accept(Outcome.REFUSED);
-                        case REFUSED, NO_LEASE -> again(pending);
+                        case COMMITTED -> one.done().accept(Outcome.ACCEPTED);
+                        case CONFLICT, UNKNOWN -> end(one);
+                        case UNAVAILABLE -> one.done().accept(Outcome.REFUSED);
+                        case REFUSED, NO_LEASE -> again(one);
                         default -> throw new IllegalStateException(outcome.kind().toString());
                     }
                 });
@@ -115,7 +167,9 @@
         List<Guard> guards = new ArrayList<>();
         List<Change> changes = new ArrayList<>();
         int bytes = 0;
-        while (!waiting.isEmpty() && changes.size() < mostChanges && bytes < MOST_BYTES) {
+        // No more than can go out now: a change that waits for its budget has all behind it wait, other teams' jobs among them.
+        int most = Math.max(1, Math.min(mostChanges, client.changesAffordable()));
+        while (!waiting.isEmpty() && changes.size() < most && bytes < MOST_BYTES) {
             List<Map<String, Object>> jobs = new ArrayList<>();
             int size = 0;
             while (!waiting.isEmpty()) {
@@ -133,38 +187,43 @@
             changes.add(Change.put(key, JobRecord.bundle(jobs)));
             bytes += size;
         }
-        write(guards, changes, outcome -> {
+        write(guards, changes, group.size(), outcome -> {
             switch (outcome.kind()) {
                 // Nothing says whether a job was known already: only a ledger that has the bundle can tell.
                 case COMMITTED, UNKNOWN -> group.forEach(this::end);
-                case UNAVAILABLE -> group.forEach(pending -> pending.done().accept(Outcome.REFUSED));
+                case UNAVAILABLE -> group.forEach(each -> each.done().accept(Outcome.REFUSED));
                 case CONFLICT, REFUSED, NO_LEASE -> group.forEach(this::again);
                 default -> throw new IllegalStateException(outcome.kind().toString());
             }
         });
     }
 
-    private void write(List<Guard> guards, List<Change> changes, Consumer<TxnOutcome> done) {
+    private void write(List<Guard> guards, List<Change> changes, int jobs, Consumer<TxnOutcome> done) {
         writing = true;
+        underWay = jobs;
+        SteadyTime begun = timers.now();
         client.txn(guards, changes, outcome -> {
             writing = false;
+            underWay = 0;
+            double each = timers.now().since(begun).seconds() / jobs;
+            secondsPerJob = (1 - LATEST) * secondsPerJob + LATEST * each;
             done.accept(outcome);
             flush();
         });
     }
 
-    private void again(Pending pending) {
-        if (timers.now().since(pending.since()).isMoreThan(PATIENCE)) {
-            pending.done().accept(Outcome.REFUSED);
+    private void again(Pending one) {
+        if (timers.now().since(one.since()).isMoreThan(PATIENCE)) {
+            one.done().accept(Outcome.REFUSED);
             return;
         }
         timers.after(RETRY, () -> {
-            waiting.add(pending);
+            waiting.add(one.job().team(), one);
             flush();
         });
     }
 
-    private void end(Pending pending) {
-        follower.barrier(current -> pending.done().accept(current ? Outcome.LOOK : Outcome.REFUSED));
+    private void end(Pending one) {
+        follower.barrier(current -> one.done().accept(current ? Outcome.LOOK : Outcome.REFUSED));
     }
 }
--- a/src/main/java/org/quincecross/api/UserApi.java
+++ b/src/main/java/org/quincecross/api/UserApi.java
@@ -196,6 +196,11 @@
             refusal = bad(400, e.getMessage());
         }
         if (refusal == null) {
+            int comeBackInS = submissions.comeBackInS(job.team());
+            if (comeBackInS > 0) {
+                reply.accept(bad(429, "too many submissions at once").withRetryAfter(comeBackInS));
+                return;
+            }
             accept(job, reply);
         } else if (refusal.status() == 503) {
             reply.accept(refusal);
