--- a/src/main/java/org/quincecross/api/Controller.java
+++ b/src/main/java/org/quincecross/api/Controller.java
@@ -17,6 +17,7 @@
 import org.quincecross.leader.Fleet;
 import org.quincecross.leader.Leader;
 import org.quincecross.model.BlockId;
+import org.quincecross.model.Job;
 import org.quincecross.model.JobId;
 import org.quincecross.model.MachineId;
 import org.quincecross.model.MemberId;
@@ -339,6 +340,11 @@
         return settings.workers();
     }
 
+    @Override
+    public boolean isIdle(Job job) {
+        return settings.isIdle(job);
+    }
+
     @Override
     public Span startWithin(String jobClass) {
         return settings.startWithin(jobClass);
--- a/src/main/java/org/quincecross/block/BlockHolder.java
+++ b/src/main/java/org/quincecross/block/BlockHolder.java
@@ -90,7 +90,7 @@
         this.commands = new Commands(context, this, placements, sessions);
         this.intake = new Intake(context, this, placements, evidence);
         this.views = new MachineViews(context, this, placements, sessions, scheduler);
-        this.rooms = new RoomMaker(this, placements, entries, sessions, scheduler);
+        this.rooms = new RoomMaker(context, this, placements, entries, sessions, scheduler);
         this.givingBack = new GivingBack(context, this, placements, entries, sessions, evidence, scheduler);
         SteadyTime now = context.now();
         for (Machine machine : lease.machines().values()) {
--- a/src/main/java/org/quincecross/block/HolderContext.java
+++ b/src/main/java/org/quincecross/block/HolderContext.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.quincecross.model.BlockId;
+import org.quincecross.model.Job;
 import org.quincecross.model.MachineId;
 import org.quincecross.model.Span;
 import org.quincecross.model.SteadyTime;
@@ -27,6 +28,9 @@
     /** The time within which tasks of a class should start, or null if nothing is said of that. */
     Span startWithin(String jobClass);
 
+    /** Whether nobody expects a job by any time: it gives way to all others. */
+    boolean isIdle(Job job);
+
     /** The images that a machine was last said to have, by whoever held it. */
     List<String> imagesOf(MachineId machine);
 
--- a/src/main/java/org/quincecross/block/RoomMaker.java
+++ b/src/main/java/org/quincecross/block/RoomMaker.java
@@ -5,7 +5,10 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
 import org.quincecross.model.Job;
+import org.quincecross.model.JobId;
 import org.quincecross.model.MachineId;
 import org.quincecross.model.Rank;
 import org.quincecross.model.Resources;
@@ -24,14 +27,19 @@
     private static final Logger LOG = LoggerFactory.getLogger(RoomMaker.class);
     private static final Span ROOM_PATIENCE = Span.ofMillis(20);
 
+    /** What nobody expects by any time is stopped as soon as other work finds no room. */
+    private static final Span IDLE_PATIENCE = Span.ofSeconds(1);
+
+    private final HolderContext context;
     private final BlockHolder holder;
     private final Placements placements;
     private final Map<TaskId, Entry> entries;
     private final Map<MachineId, Session> sessions;
     private final BlockScheduler scheduler;
 
-    RoomMaker(BlockHolder holder, Placements placements, Map<TaskId, Entry> entries, Map<MachineId, Session> sessions,
+    RoomMaker(HolderContext context, BlockHolder holder, Placements placements, Map<TaskId, Entry> entries, Map<MachineId, Session> sessions,
             BlockScheduler scheduler) {
+        this.context = context;
         this.holder = holder;
         this.placements = placements;
         this.entries = entries;
@@ -59,30 +67,46 @@
         if (entries.isEmpty()) {
             return;
         }
-        List<Entry> impatient = new ArrayList<>();
+        boolean idleWork = hasIdleWork();
+        Set<Entry> impatient = new TreeSet<>(Entry.ORDER);
         for (Entry entry : entries.values()) {
-            if (entry.tasks().size() == 1) {
-                Placement first = placements.get(entry.tasks().get(0));
-                SteadyTime patient = first.since().plus(patience(first.job()));
-                if (now.isBefore(patient)) {
-                    holder.wakeBy(patient);
-                } else {
-                    impatient.add(entry);
-                }
+            Placement first = placements.get(entry.tasks().get(0));
+            boolean mayStopIdle = idleWork && first.job().rank().isAbove(Rank.LOW);
+            if (entry.tasks().size() > 1 && !mayStopIdle) {
+                continue;
+            }
+            SteadyTime patient = first.since().plus(patience(first.job(), mayStopIdle));
+            if (now.isBefore(patient)) {
+                holder.wakeBy(patient);
+            } else {
+                impatient.add(entry);
             }
         }
-        impatient.sort(Entry.ORDER);
         Preemption preemption = null;
         for (Entry entry : impatient) {
             Placement first = placements.get(entry.tasks().get(0));
             preemption = preemption == null ? new Preemption(scheduler, stoppable(), stopping()) : preemption;
-            for (Preemption.Running victim : preemption.makeRoom(entry)) {
+            for (Preemption.Running victim : entry.tasks().size() > 1 ? preemption.makeRoomForGang(entry) : preemption.makeRoom(entry)) {
                 LOG.info("block {}: {} makes room for {}", holder.id(), victim.task(), first.task());
                 stopAll(placements.get(victim.task()), true, now);
             }
         }
     }
 
+    private boolean hasIdleWork() {
+        for (JobId id : placements.jobs()) {
+            for (Placement placement : placements.ofJob(id)) {
+                if (!context.isIdle(placement.job())) {
+                    break;
+                }
+                if (placement.isBound()) {
+                    return true;
+                }
+            }
+        }
+        return false;
+    }
+
     /** What the tasks take that are being stopped, on each machine. */
     private Map<MachineId, Resources> stopping() {
         Map<MachineId, Resources> stopping = new HashMap<>();
@@ -98,6 +122,7 @@
             for (Placement placement : placements.in(state)) {
                 if (placement.job().shape() != Shape.GANG) {
                     running.add(new Preemption.Running(placement.task(), placement.machine(), placement.job().rank(),
+                            context.isIdle(placement.job()),
                             placement.job().each(), placement.job().saves(), placement.since()));
                 }
             }
@@ -106,8 +131,8 @@
     }
 
     /** How long work waits before other work is stopped for it: what is queued ahead of its time may well start soon. */
-    private static Span patience(Job job) {
-        return job.rank() == Rank.PRODUCTION ? ROOM_PATIENCE
+    private static Span patience(Job job, boolean mayStopIdle) {
+        return job.rank() == Rank.PRODUCTION ? ROOM_PATIENCE : mayStopIdle ? IDLE_PATIENCE
                 : Span.ofSeconds(Math.max(5, 0.25 * job.estimate().seconds()));
     }
 
--- a/src/main/java/org/quincecross/emulator/World.java
+++ b/src/main/java/org/quincecross/emulator/World.java
@@ -160,6 +160,9 @@
     }
 
     private void startNode(int node) {
+        if (lives[node] != null) {
+            lives[node].end(); // where two troubles had it started anew, the second start takes the first one's place
+        }
         Life life = new Life();
         lives[node] = life;
         String name = Site.nodeName(node);
--- a/src/main/java/org/quincecross/leader/Leader.java
+++ b/src/main/java/org/quincecross/leader/Leader.java
@@ -545,7 +545,7 @@
             Admission.Block block = admissionBlock(lease);
             books.eachHeld(id, (job, tasks, open) -> {
                 TaskSet done = completed.get(job.id());
-                block.count(job, open, open - (done == null ? 0 : tasks.common(done)));
+                block.count(job, open, open - (done == null ? 0 : tasks.common(done)), settings.isIdle(job));
             });
             admissionBlocks.put(id, block);
             if (books.stale(id) > MOST_STALE) {
--- a/src/main/java/org/quincecross/sched/Admission.java
+++ b/src/main/java/org/quincecross/sched/Admission.java
@@ -64,6 +64,8 @@
         private final int mostBytes;
         private final Resources[] usedFrom = new Resources[Rank.values().length];
         private final Map<JobId, TaskSet> admitted = new LinkedHashMap<>();
+        /** What those jobs use that nobody expects by any time. */
+        private Resources idle = Resources.NONE;
         /** What services use. */
         private Resources standing = Resources.NONE;
         private Resources gangs = Resources.NONE;
@@ -106,10 +108,14 @@
          *
          * @param recorded how many its record names
          * @param running how many of them still take room
+         * @param isIdle whether nobody expects it by any time
          */
-        public void count(Job job, int recorded, int running) {
+        public void count(Job job, int recorded, int running, boolean isIdle) {
             bytes += bytesFor(job, recorded);
             use(job, running);
+            if (isIdle) {
+                idle = idle.plus(job.each().times(running));
+            }
         }
 
         /** These jobs have failed on every machine of the block. */
@@ -529,6 +535,9 @@
             }
         }
         Resources room = capacity.minus(kept).minus(block.usedFrom(mayPreempt ? job.rank() : Rank.LOW));
+        if (!mayPreempt && job.rank().isAbove(Rank.LOW)) {
+            room = room.plus(block.idle); // gives way to all others, pressed or not
+        }
         return job.each().times(tasks).fitsIn(room)
                 && block.machine.count(job.each()) * block.machines >= tasks;
     }
--- a/src/main/java/org/quincecross/sched/Preemption.java
+++ b/src/main/java/org/quincecross/sched/Preemption.java
@@ -16,8 +16,12 @@
  * already, or is promised to an earlier entry of the round, is not counted twice.
  */
 public final class Preemption {
-    /** A task that takes up room and could be stopped. */
-    public record Running(TaskId task, MachineId machine, Rank rank, Resources each, boolean saves, SteadyTime since) {
+    /**
+     * A task that takes up room and could be stopped.
+     *
+     * @param idle whether nobody expects it by any time: it goes first
+     */
+    public record Running(TaskId task, MachineId machine, Rank rank, boolean idle, Resources each, boolean saves, SteadyTime since) {
     }
 
     private final BlockScheduler block;
@@ -48,6 +52,32 @@
      * lowest priority goes first, then what saves its progress, then what was started last.
      */
     public List<Running> makeRoom(Entry entry) {
+        return makeRoom(entry, false);
+    }
+
+    /**
+     * The same for a gang, as many of whose tasks wait as there are: room is made on as many machines as it needs, or on none. What
+     * takes whole machines would otherwise wait for all tasks of lower priority that are spread over them.
+     */
+    public List<Running> makeRoomForGang(Entry gang) {
+        Map<MachineId, Resources> roomBefore = new HashMap<>(room);
+        Map<MachineId, List<Running>> runningBefore = new HashMap<>();
+        running.forEach((machine, tasks) -> runningBefore.put(machine, new ArrayList<>(tasks)));
+        List<Running> all = new ArrayList<>();
+        for (int i = 0; i < gang.tasks().size(); i++) {
+            List<Running> victims = makeRoom(gang, true);
+            if (victims == null) {
+                room.putAll(roomBefore);
+                running.putAll(runningBefore);
+                return List.of();
+            }
+            all.addAll(victims);
+        }
+        return all;
+    }
+
+    /** Null, for a task of a gang, where no machine can be made to fit it. */
+    private List<Running> makeRoom(Entry entry, boolean ofGang) {
         MachineQueue best = null;
         List<Running> bestVictims = null;
         for (MachineQueue machine : block.machines()) {
@@ -61,7 +91,7 @@
             }
         }
         if (best == null) {
-            return List.of();
+            return ofGang ? null : List.of();
         }
         Resources left = room.get(best.machine()).minus(entry.job().each());
         for (Running victim : bestVictims) {
@@ -69,7 +99,9 @@
             running.get(best.machine()).remove(victim);
         }
         room.put(best.machine(), left);
-        block.move(entry, best.machine());
+        if (!ofGang) {
+            block.move(entry, best.machine());
+        }
         return bestVictims;
     }
 
@@ -100,6 +132,7 @@
             }
         }
         stoppable.sort(Comparator.comparing(Running::rank)
+                .thenComparing(task -> !task.idle())
                 .thenComparing(task -> !task.saves())
                 .thenComparing(Running::since, Comparator.reverseOrder()));
         List<Running> victims = new ArrayList<>();
--- a/src/main/java/org/quincecross/wire/Settings.java
+++ b/src/main/java/org/quincecross/wire/Settings.java
@@ -9,6 +9,7 @@
 import org.quincecross.model.Endpoint;
 import org.quincecross.model.Job;
 import org.quincecross.model.MemberId;
+import org.quincecross.model.Rank;
 import org.quincecross.model.Resources;
 import org.quincecross.model.Span;
 import org.quincecross.model.Team;
@@ -69,6 +70,11 @@
         return aims(objectives, job);
     }
 
+    /** Whether nobody expects a job by any time, and all others go before it: it takes what is left over. */
+    public boolean isIdle(Job job) {
+        return job.rank() == Rank.LOW && aims(job).isEmpty();
+    }
+
     /** What {@code objectives} and its own deadline expect of a job, the soonest first. */
     public static List<Aim> aims(List<Objective> objectives, Job job) {
         List<Aim> aims = new ArrayList<>();
--- a/src/test/java/org/quincecross/block/HolderHarness.java
+++ b/src/test/java/org/quincecross/block/HolderHarness.java
@@ -93,6 +93,11 @@
                     Span.ofSeconds(30));
         }
 
+        @Override
+        public boolean isIdle(Job job) {
+            return false;
+        }
+
         @Override
         public Span startWithin(String jobClass) {
             return null;
--- a/src/test/java/org/quincecross/emulator/Day.java
+++ b/src/test/java/org/quincecross/emulator/Day.java
@@ -4,7 +4,13 @@
 import java.util.List;
 import java.util.Random;
 import java.util.function.Predicate;
+import org.quincecross.model.Job;
+import org.quincecross.model.JobId;
 import org.quincecross.model.MachineId;
+import org.quincecross.model.Rank;
+import org.quincecross.model.Resources;
+import org.quincecross.model.Shape;
+import org.quincecross.model.Span;
 
 /** A day drawn from a seed: jobs of all kinds, troubles alone and together, then quiet. */
 final class Day {
@@ -55,7 +61,7 @@
         boolean lose = random.nextBoolean();
         List<MachineId> machines = world.cloud().machines();
         MachineId machine = machines.isEmpty() ? new MachineId("none") : machines.get(random.nextInt(machines.size()));
-        switch (random.nextInt(13)) {
+        switch (random.nextInt(18)) {
             case 0 -> world.crash(node);
             case 1 -> {
                 for (int i = 0; i < world.nodeCount(); i++) {
@@ -78,10 +84,29 @@
             case 10 -> cutZone(node % world.site().zones().size(), length, lose);
             case 11 -> machines.forEach(each -> world.cut(Site.nodeName(random.nextInt(world.nodeCount())), each.text(),
                     3 + random.nextDouble() * 5, random.nextBoolean()));
-            default -> world.cloud().take(machine, 0);
+            case 12 -> world.cloud().take(machine, 0);
+            case 13 -> world.silence(node, length, lose);
+            case 14 -> world.standStill(node, length);
+            case 15 -> {
+                world.standStill(node, length / 3);
+                world.time().at(world.time().seconds() + length / 4, () -> world.standStill((node + 1) % world.nodeCount(), length / 2));
+            }
+            case 16 -> world.users().storm(2 + random.nextInt(20), length);
+            default -> mistake();
         }
     }
 
+    /** A job that fails wherever it runs, until its user cancels it. */
+    private void mistake() {
+        Shape shape = Shape.values()[random.nextInt(Shape.values().length)];
+        Job job = new Job(new JobId("job-" + (5000 + world.users().mistakes().size())), "mistake", random.nextBoolean() ? "blue" : "red", shape,
+                shape == Shape.SERVICE ? Rank.PRODUCTION : Rank.NORMAL, 1 + random.nextInt(shape == Shape.ARRAY ? 20 : 2),
+                new Resources(1 + random.nextInt(2), 0, 2), null, null, shape == Shape.GANG, false, false, "img-" + random.nextInt(3), 1,
+                Span.ofSeconds(10), Span.ZERO, Span.ZERO, null);
+        world.users().submitMistaken(job);
+        world.time().at(world.time().seconds() + 20 + random.nextDouble() * 60, () -> world.users().cancel(job.id()));
+    }
+
     /** Cuts a zone off from everything outside: its machines and controllers still hear one another. */
     private void cutZone(int zone, double length, boolean lose) {
         String name = world.site().zones().get(zone);
--- a/src/test/java/org/quincecross/sched/AdmissionTest.java
+++ b/src/test/java/org/quincecross/sched/AdmissionTest.java
@@ -11,6 +11,7 @@
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
 import net.jqwik.api.Combinators;
+import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.From;
 import net.jqwik.api.Property;
@@ -128,4 +129,26 @@
         return new Admission(blocks, Map.of("t", TEAM), Map.of(), Map.of()).run(List.of(
                 new Admission.Demand(job, new Revision(1), 100, false, false, TaskSet.below(1), Map.of(), Admission.Place.IN_ORDER, 100)));
     }
+
+    /** A block full of work that nobody expects is free for all that somebody does, but not for more of its own kind. */
+    @Example
+    void whatNobodyExpectsIsInNobodysWay() {
+        for (boolean idle : new boolean[] {true, false}) {
+            for (Rank rank : List.of(Rank.NORMAL, Rank.LOW)) {
+                Admission.Block block = new Admission.Block(new BlockId("b"), "m", "a", true, new Resources(16, 0, 64),
+                        List.of(new Resources(0, 0, 0), new Resources(0, 0, 0)), List.of(), Map.of(), 4000);
+                block.count(array(1, Rank.LOW, 8), 8, 8, idle);
+                Job job = array(2, rank, 4);
+                new Admission(List.of(block), Map.of("t", TEAM), Map.of(), Map.of()).run(List.of(new Admission.Demand(job, new Revision(1),
+                        500, false, false, TaskSet.below(4), Map.of(), Admission.Place.IN_ORDER, 500)));
+                int admitted = block.admitted().containsKey(job.id()) ? block.admitted().get(job.id()).size() : 0;
+                assertEquals(idle && rank == Rank.NORMAL ? 4 : 1, admitted, rank + " beside idle work: " + idle);
+            }
+        }
+    }
+
+    private static Job array(int number, Rank rank, int tasks) {
+        return new Job(new JobId("job-" + number), "c", "t", Shape.ARRAY, rank, tasks, new Resources(2, 0, 1), null, null, false, false, true,
+                "i", 1, Span.ofSeconds(60), Span.ZERO, Span.ZERO, null);
+    }
 }
--- a/src/test/java/org/quincecross/sched/BlockSchedulerTest.java
+++ b/src/test/java/org/quincecross/sched/BlockSchedulerTest.java
@@ -6,6 +6,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.stream.IntStream;
@@ -156,7 +157,7 @@
         block.enqueue(urgent);
         assertTrue(block.schedule(NOW).isEmpty(), "room can be made at once next to the image");
         Job other = job(2, Shape.ARRAY, Rank.NORMAL, 1, 2, 1);
-        Preemption.Running victim = new Preemption.Running(other.id().task(0), withImage, Rank.NORMAL, two, false, NOW);
+        Preemption.Running victim = new Preemption.Running(other.id().task(0), withImage, Rank.NORMAL, false, two, false, NOW);
         assertEquals(List.of(victim), new Preemption(block, List.of(victim), Map.of()).makeRoom(urgent));
         assertEquals(List.of(), new Preemption(block, List.of(), Map.of(withImage, two)).makeRoom(urgent), "it is being made");
         block.update(withImage, MACHINE.minus(two), Resources.NONE, true);
@@ -164,6 +165,34 @@
         assertEquals(List.of(withImage), starts.get(0).machines());
     }
 
+    /** Whole machines for a gang are made free together or not at all, and what nobody expects goes first. */
+    @Example
+    void roomForAGangIsMadeOnAsManyMachinesAsItNeedsOrOnNone() {
+        BlockScheduler block = block(3);
+        List<Preemption.Running> running = new ArrayList<>();
+        List<MachineId> machines = block.machines().stream().map(MachineQueue::machine).toList();
+        for (int i = 0; i < 3; i++) {
+            block.update(machines.get(i), MACHINE, Resources.NONE, true);
+            for (int half = 0; half < 2; half++) {
+                Job job = job(100 + 2 * i + half, Shape.ARRAY, i < 2 ? Rank.LOW : Rank.NORMAL, 1, 4, 16);
+                running.add(new Preemption.Running(job.id().task(0), machines.get(i), job.rank(), half == 1, job.each(), true, NOW));
+            }
+        }
+        Job wide = job(1, Shape.GANG, Rank.NORMAL, 2, 8, 32);
+        Entry gang = new Entry(wide, List.of(wide.id().task(0), wide.id().task(1)), new Revision(1));
+        block.enqueue(gang);
+        assertEquals(new HashSet<>(running.subList(0, 4)), new HashSet<>(new Preemption(block, running, Map.of()).makeRoomForGang(gang)));
+        Job wider = job(2, Shape.GANG, Rank.NORMAL, 3, 8, 32);
+        Entry tooWide = new Entry(wider, List.of(wider.id().task(0), wider.id().task(1), wider.id().task(2)), new Revision(2));
+        block.enqueue(tooWide);
+        Preemption preemption = new Preemption(block, running, Map.of());
+        assertEquals(List.of(), preemption.makeRoomForGang(tooWide), "work of its own priority stays");
+        assertEquals(4, preemption.makeRoomForGang(gang).size(), "what was not stopped for one can be for another");
+        Job small = job(3, Shape.ARRAY, Rank.NORMAL, 1, 4, 16);
+        Entry one = new Entry(small, List.of(small.id().task(0)), new Revision(3));
+        assertTrue(new Preemption(block, running, Map.of()).makeRoom(one).get(0).idle());
+    }
+
     /** One thing that happens to a block. */
     private record Step(int kind, int number, double cpus, double memory) {
     }
