--- a/src/main/java/org/quincecross/block/RoomMaker.java
+++ b/src/main/java/org/quincecross/block/RoomMaker.java
@@ -5,10 +5,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
-import java.util.TreeSet;
+import java.util.TreeMap;
 import org.quincecross.model.Job;
-import org.quincecross.model.JobId;
 import org.quincecross.model.MachineId;
 import org.quincecross.model.Rank;
 import org.quincecross.model.Resources;
@@ -67,46 +65,37 @@
         if (entries.isEmpty()) {
             return;
         }
-        boolean idleWork = hasIdleWork();
-        Set<Entry> impatient = new TreeSet<>(Entry.ORDER);
+        boolean idleWork = placements.seenIn(Placement.State.ACTIVE).stream().anyMatch(placement -> context.isIdle(placement.job()));
+        Map<Entry, Boolean> impatient = new TreeMap<>(Entry.ORDER);
         for (Entry entry : entries.values()) {
             Placement first = placements.get(entry.tasks().get(0));
-            boolean mayStopIdle = idleWork && first.job().rank().isAbove(Rank.LOW);
-            if (entry.tasks().size() > 1 && !mayStopIdle) {
-                continue;
+            SteadyTime patient = first.since().plus(patience(first.job()));
+            boolean gang = entry.tasks().size() > 1;
+            if (!gang && !now.isBefore(patient)) {
+                impatient.put(entry, false);
+            } else if (idleWork && first.job().rank().isAbove(Rank.LOW)) {
+                SteadyTime soon = first.since().plus(IDLE_PATIENCE);
+                if (now.isBefore(soon)) {
+                    holder.wakeBy(soon);
+                } else {
+                    impatient.put(entry, true);
+                }
             }
-            SteadyTime patient = first.since().plus(patience(first.job(), mayStopIdle));
-            if (now.isBefore(patient)) {
+            if (!gang && now.isBefore(patient)) {
                 holder.wakeBy(patient);
-            } else {
-                impatient.add(entry);
             }
         }
         Preemption preemption = null;
-        for (Entry entry : impatient) {
-            Placement first = placements.get(entry.tasks().get(0));
+        for (Map.Entry<Entry, Boolean> waits : impatient.entrySet()) {
+            Entry entry = waits.getKey();
             preemption = preemption == null ? new Preemption(scheduler, stoppable(), stopping()) : preemption;
-            for (Preemption.Running victim : entry.tasks().size() > 1 ? preemption.makeRoomForGang(entry) : preemption.makeRoom(entry)) {
-                LOG.info("block {}: {} makes room for {}", holder.id(), victim.task(), first.task());
+            for (Preemption.Running victim : preemption.makeRoom(entry, waits.getValue())) {
+                LOG.info("block {}: {} makes room for {}", holder.id(), victim.task(), entry.tasks().get(0));
                 stopAll(placements.get(victim.task()), true, now);
             }
         }
     }
 
-    private boolean hasIdleWork() {
-        for (JobId id : placements.jobs()) {
-            for (Placement placement : placements.ofJob(id)) {
-                if (!context.isIdle(placement.job())) {
-                    break;
-                }
-                if (placement.isBound()) {
-                    return true;
-                }
-            }
-        }
-        return false;
-    }
-
     /** What the tasks take that are being stopped, on each machine. */
     private Map<MachineId, Resources> stopping() {
         Map<MachineId, Resources> stopping = new HashMap<>();
@@ -131,8 +120,8 @@
     }
 
     /** How long work waits before other work is stopped for it: what is queued ahead of its time may well start soon. */
-    private static Span patience(Job job, boolean mayStopIdle) {
-        return job.rank() == Rank.PRODUCTION ? ROOM_PATIENCE : mayStopIdle ? IDLE_PATIENCE
+    private static Span patience(Job job) {
+        return job.rank() == Rank.PRODUCTION ? ROOM_PATIENCE
                 : Span.ofSeconds(Math.max(5, 0.25 * job.estimate().seconds()));
     }
 
--- a/src/main/java/org/quincecross/sched/Preemption.java
+++ b/src/main/java/org/quincecross/sched/Preemption.java
@@ -50,22 +50,26 @@
      * The tasks to stop so that {@code entry} fits on a machine; none if room is being made for it already, or if no
      * machine can be made to fit it. The entry then waits for that machine. A machine with its image is preferred, then the one that loses least; there the
      * lowest priority goes first, then what saves its progress, then what was started last.
+     *
+     * <p>For a gang room is made on as many machines as it needs, or on none.
+     *
+     * @param ofIdle whether only what nobody expects may be stopped
      */
-    public List<Running> makeRoom(Entry entry) {
-        return makeRoom(entry, false);
+    public List<Running> makeRoom(Entry entry, boolean ofIdle) {
+        if (entry.tasks().size() > 1) {
+            return makeRoomForGang(entry, ofIdle);
+        }
+        List<Running> victims = makeRoomForOne(entry, ofIdle);
+        return victims == null ? List.of() : victims;
     }
 
-    /**
-     * The same for a gang, as many of whose tasks wait as there are: room is made on as many machines as it needs, or on none. What
-     * takes whole machines would otherwise wait for all tasks of lower priority that are spread over them.
-     */
-    public List<Running> makeRoomForGang(Entry gang) {
+    private List<Running> makeRoomForGang(Entry gang, boolean ofIdle) {
         Map<MachineId, Resources> roomBefore = new HashMap<>(room);
         Map<MachineId, List<Running>> runningBefore = new HashMap<>();
         running.forEach((machine, tasks) -> runningBefore.put(machine, new ArrayList<>(tasks)));
         List<Running> all = new ArrayList<>();
         for (int i = 0; i < gang.tasks().size(); i++) {
-            List<Running> victims = makeRoom(gang, true);
+            List<Running> victims = makeRoomForOne(gang, ofIdle);
             if (victims == null) {
                 room.putAll(roomBefore);
                 running.putAll(runningBefore);
@@ -76,22 +80,22 @@
         return all;
     }
 
-    /** Null, for a task of a gang, where no machine can be made to fit it. */
-    private List<Running> makeRoom(Entry entry, boolean ofGang) {
+    /** What is stopped for one task of an entry; null where no machine can be made to fit it. */
+    private List<Running> makeRoomForOne(Entry entry, boolean ofIdle) {
         MachineQueue best = null;
         List<Running> bestVictims = null;
         for (MachineQueue machine : block.machines()) {
             if (!machine.isOpen() || !machine.canEver(entry) || entry.avoided().contains(machine.machine())) {
                 continue;
             }
-            List<Running> victims = onMachine(machine, entry);
+            List<Running> victims = onMachine(machine, entry, ofIdle);
             if (victims != null && (best == null || cost(machine, entry, victims) < cost(best, entry, bestVictims))) {
                 best = machine;
                 bestVictims = victims;
             }
         }
         if (best == null) {
-            return ofGang ? null : List.of();
+            return null;
         }
         Resources left = room.get(best.machine()).minus(entry.job().each());
         for (Running victim : bestVictims) {
@@ -99,7 +103,7 @@
             running.get(best.machine()).remove(victim);
         }
         room.put(best.machine(), left);
-        if (!ofGang) {
+        if (entry.tasks().size() == 1) {
             block.move(entry, best.machine());
         }
         return bestVictims;
@@ -117,7 +121,7 @@
     }
 
     /** What would have to be stopped on a machine, or null if that would not be enough. */
-    private List<Running> onMachine(MachineQueue machine, Entry entry) {
+    private List<Running> onMachine(MachineQueue machine, Entry entry, boolean ofIdle) {
         Resources free = room.get(machine.machine());
         if (entry.job().each().fitsIn(free)) {
             return List.of();
@@ -127,7 +131,7 @@
         }
         List<Running> stoppable = new ArrayList<>();
         for (Running task : running.getOrDefault(machine.machine(), List.of())) {
-            if (entry.job().rank().isAbove(task.rank())) {
+            if (entry.job().rank().isAbove(task.rank()) && (task.idle() || !ofIdle)) {
                 stoppable.add(task);
             }
         }
--- a/src/main/java/org/quincecross/wire/Settings.java
+++ b/src/main/java/org/quincecross/wire/Settings.java
@@ -72,7 +72,16 @@
 
     /** Whether nobody expects a job by any time, and all others go before it: it takes what is left over. */
     public boolean isIdle(Job job) {
-        return job.rank() == Rank.LOW && aims(job).isEmpty();
+        // Asked for every task that runs: without the names of aims, which aims(job) formats.
+        if (job.rank() != Rank.LOW || job.deadline() != null) {
+            return false;
+        }
+        for (Objective objective : objectives) {
+            if (objective.within() != null && job.jobClass().equals(objective.jobClass())) {
+                return false;
+            }
+        }
+        return true;
     }
 
     /** What {@code objectives} and its own deadline expect of a job, the soonest first. */
--- a/src/test/java/org/quincecross/sched/BlockSchedulerTest.java
+++ b/src/test/java/org/quincecross/sched/BlockSchedulerTest.java
@@ -158,8 +158,8 @@
         assertTrue(block.schedule(NOW).isEmpty(), "room can be made at once next to the image");
         Job other = job(2, Shape.ARRAY, Rank.NORMAL, 1, 2, 1);
         Preemption.Running victim = new Preemption.Running(other.id().task(0), withImage, Rank.NORMAL, false, two, false, NOW);
-        assertEquals(List.of(victim), new Preemption(block, List.of(victim), Map.of()).makeRoom(urgent));
-        assertEquals(List.of(), new Preemption(block, List.of(), Map.of(withImage, two)).makeRoom(urgent), "it is being made");
+        assertEquals(List.of(victim), new Preemption(block, List.of(victim), Map.of()).makeRoom(urgent, false));
+        assertEquals(List.of(), new Preemption(block, List.of(), Map.of(withImage, two)).makeRoom(urgent, false), "it is being made");
         block.update(withImage, MACHINE.minus(two), Resources.NONE, true);
         List<BlockScheduler.Start> starts = block.schedule(NOW);
         assertEquals(List.of(withImage), starts.get(0).machines());
@@ -181,16 +181,17 @@
         Job wide = job(1, Shape.GANG, Rank.NORMAL, 2, 8, 32);
         Entry gang = new Entry(wide, List.of(wide.id().task(0), wide.id().task(1)), new Revision(1));
         block.enqueue(gang);
-        assertEquals(new HashSet<>(running.subList(0, 4)), new HashSet<>(new Preemption(block, running, Map.of()).makeRoomForGang(gang)));
+        assertEquals(new HashSet<>(running.subList(0, 4)), new HashSet<>(new Preemption(block, running, Map.of()).makeRoom(gang, false)));
         Job wider = job(2, Shape.GANG, Rank.NORMAL, 3, 8, 32);
         Entry tooWide = new Entry(wider, List.of(wider.id().task(0), wider.id().task(1), wider.id().task(2)), new Revision(2));
         block.enqueue(tooWide);
         Preemption preemption = new Preemption(block, running, Map.of());
-        assertEquals(List.of(), preemption.makeRoomForGang(tooWide), "work of its own priority stays");
-        assertEquals(4, preemption.makeRoomForGang(gang).size(), "what was not stopped for one can be for another");
+        assertEquals(List.of(), preemption.makeRoom(tooWide, false), "work of its own priority stays");
+        assertEquals(4, preemption.makeRoom(gang, false).size(), "what was not stopped for one can be for another");
         Job small = job(3, Shape.ARRAY, Rank.NORMAL, 1, 4, 16);
         Entry one = new Entry(small, List.of(small.id().task(0)), new Revision(3));
-        assertTrue(new Preemption(block, running, Map.of()).makeRoom(one).get(0).idle());
+        assertTrue(new Preemption(block, running, Map.of()).makeRoom(one, true).get(0).idle());
+        assertEquals(List.of(), new Preemption(block, running.subList(4, 6), Map.of()).makeRoom(one, true));
     }
 
     /** One thing that happens to a block. */
