--- a/src/main/java/org/quincecross/emulator/World.java
+++ b/src/main/java/org/quincecross/emulator/World.java
@@ -1,5 +1,6 @@
 package org.quincecross.emulator;
 
+import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.Collections;
 import java.util.HashMap;
@@ -8,6 +9,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.stream.IntStream;
@@ -43,6 +45,7 @@
     private final Meter meter;
     private final List<Endpoint> nodes;
     private boolean memoryIsShort;
+    private Trap trap;
     private double clockAheadS = EPOCH_S;
     private final Map<String, Double> longestAnswers = new TreeMap<>();
     private final Life[] lives;
@@ -167,8 +170,16 @@
         lives[node] = life;
         String name = Site.nodeName(node);
         controllers[node] = new Controller(time.timersOf(life, random.nextInt(1_000_000_000), 1 + 0.0005 * random.nextDouble(), meter),
-                (to, request, timeout, done) -> net.call(life, name, to, request, timeout,
-                        outcome -> time.whenAwake(life, () -> meter.run("answer " + kind(request.path()), () -> done.accept(outcome)))),
+                (to, request, timeout, done) -> {
+                    Runnable send = () -> net.call(life, name, to, request, timeout,
+                            outcome -> time.whenAwake(life, () -> meter.run("answer " + kind(request.path()), () -> done.accept(outcome))));
+                    double late = trap == null ? 0 : trap.sprung(node, request);
+                    if (late > 0) {
+                        time.after(late, send);
+                    } else {
+                        send.run();
+                    }
+                },
                 peerLinks(name), site.settings(node, nodes, nodes, CLOUD, STATE), features[node], () -> (long) ((time.seconds() + clockAheadS) * 1000), () -> memoryIsShort);
         meter.run("start", controllers[node]::start);
     }
@@ -208,6 +219,54 @@
         }
     }
 
+    /** What may come over a controller as it sends a message. */
+    enum Mishap {
+        /** It has decided, and stands still before the message is sent: the packet goes out late. */
+        STILL_BEFORE,
+        /** The message is sent, and its answer waits for the controller. */
+        STILL_AFTER,
+        /** The message is the last that is heard of it for a while. */
+        SILENT
+    }
+
+    /** A controller that sends a request of a kind for the first time meets with a mishap. */
+    private final class Trap {
+        private final Predicate<String> request;
+        private final double seconds;
+        private final Mishap mishap;
+        private int sprungAt = -1;
+
+        Trap(Predicate<String> request, double seconds, Mishap mishap) {
+            this.request = request;
+            this.seconds = seconds;
+            this.mishap = mishap;
+        }
+
+        /** For how long a request waits to be sent. */
+        double sprung(int node, HttpRequest sent) {
+            if (sprungAt >= 0 || !request.test(sent.method() + " " + sent.path() + " " + new String(sent.body(), StandardCharsets.UTF_8))) {
+                return 0;
+            }
+            sprungAt = node;
+            if (mishap == Mishap.SILENT) {
+                time.after(0.006, () -> silence(node, seconds, true));
+            } else {
+                standStill(node, seconds);
+            }
+            return mishap == Mishap.STILL_BEFORE ? seconds : 0;
+        }
+    }
+
+    /** Has the next controller that sends a request which looks so (method, path and body) meet with a mishap. */
+    void mishapAt(Predicate<String> request, double seconds, Mishap mishap) {
+        trap = new Trap(request, seconds, mishap);
+    }
+
+    /** The controller that has met with the mishap; -1 where no such request was sent. */
+    int mishapHit() {
+        return trap.sprungAt;
+    }
+
     void crash(int node) {
         if (lives[node].isAlive()) {
             lives[node].end();
--- a/src/test/java/org/quincecross/emulator/BadNightsTest.java
+++ b/src/test/java/org/quincecross/emulator/BadNightsTest.java
@@ -6,9 +6,11 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.regex.Pattern;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.quincecross.http.HttpRequest;
 import org.quincecross.model.Job;
@@ -63,8 +65,12 @@
     }
 
     private static Job array(int number, int tasks) {
+        return array(number, tasks, 6);
+    }
+
+    private static Job array(int number, int tasks, double seconds) {
         return new Job(new JobId("job-" + number), "other", "batch", Shape.ARRAY, Rank.NORMAL, tasks, new Resources(1, 0, 2), null, null,
-                false, false, false, "other", 0.5, Span.ofSeconds(6), Span.ZERO, Span.ZERO, null);
+                false, false, false, "other", 0.5, Span.ofSeconds(seconds), Span.ZERO, Span.ZERO, null);
     }
 
     private int replicas() {
@@ -165,7 +171,9 @@
     @Test
     void jobsThatCanOnlyFailAreTriedNowAndThen() {
         for (int i = 0; i < 20; i++) {
-            Job job = array(70_000 + i, 30);
+            Job job = i % 5 < 3 ? array(70_000 + i, 30) : new Job(new JobId("job-" + (70_000 + i)), "mistaken", "batch",
+                    i % 5 == 3 ? Shape.GANG : Shape.SERVICE, i % 5 == 3 ? Rank.NORMAL : Rank.PRODUCTION, 3, new Resources(2, 0, 4), null, null,
+                    i % 5 == 3, false, false, "mistaken", 0.5, Span.ofSeconds(6), Span.ZERO, Span.ZERO, null);
             world.time().at(15 + 0.3 * i, () -> world.users().submitMistaken(job));
         }
         world.time().runUntil(30);
@@ -211,4 +219,62 @@
         assertTrue(world.users().answers().get("poll 503") < world.users().answers().get("poll 200") / 50, world.users().answers().toString());
         assertTrue(world.state().throttled() < 30, "refused for their number: " + world.state().throttled());
     }
+
+    /** The steps of a controller's work that a message goes out for, as its request looks. */
+    private enum Step {
+        LEADING("POST /txn .*\"q/leader\".*\"Set\":\"q/leader\".*"),
+        LEASING("POST /txn .*\"Set\":\"q/block/.*"),
+        ALLOCATING("POST /txn .*\"Set\":\"q/alloc/.*"),
+        ACCEPTING("POST /txn .*\"phase\":\"open\".*"),
+        CANCELLING("POST /txn .*\"phase\":\"cancelled\".*"),
+        RENEWING("POST /holds/.*"),
+        RENTING("POST /hosts .*"),
+        RETURNING("POST /hosts/return .*"),
+        COMMANDING("POST /orders .*\"start\".*");
+
+        private final Pattern request;
+
+        Step(String request) {
+            this.request = Pattern.compile(request, Pattern.DOTALL);
+        }
+    }
+
+    /**
+     * A controller stands still in each step of its work, between its decision and the message that it sends then, minutes late, or
+     * between the message and its answer; or it falls silent there. It wakes with plans, commands and answers of the time before.
+     */
+    @ParameterizedTest
+    @EnumSource(Step.class)
+    void aMishapInEachStep(Step step) throws BadMessage {
+        for (World.Mishap mishap : World.Mishap.values()) {
+            for (double seconds : new double[] {1, 6, 12, 35, 90}) {
+                Site growing = Site.tryOut(MACHINES, false);
+                World other = new World(growing, (long) (seconds * 10), Meter.OFF);
+                List<JobId> done = new ArrayList<>();
+                for (JobsFile.Due due : JobsFile.read(JOBS, growing)) {
+                    other.time().at(4 + due.atS(), () -> other.users().submit(due.job()));
+                    if (due.job().jobClass().equals("rebuild")) {
+                        done.add(due.job().id());
+                    }
+                }
+                Job cancelledJob = array(72_000, 40, 400);
+                JobId cancelled = cancelledJob.id();
+                other.time().at(20, () -> other.users().submit(cancelledJob));
+                other.time().at(24, () -> other.users().cancel(cancelled));
+                other.time().at(step == Step.LEADING ? 0 : 14, () -> other.mishapAt(step.request.asMatchPredicate(), seconds, mishap));
+                if (step == Step.LEADING) {
+                    other.time().at(15, () -> other.crash(other.leader()));
+                }
+                other.time().runUntil(140 + 2 * seconds);
+                String what = step + " " + mishap + " " + seconds + " s";
+                assertTrue(other.mishapHit() >= 0, what);
+                assertEquals(List.of(), other.rules().broken(), what);
+                for (JobId id : done) {
+                    assertEquals("done", other.users().told().get(id), what + ": " + id);
+                }
+                assertEquals("cancelled", other.users().told().get(cancelled), what);
+                assertEquals(0, other.rules().onMachines(cancelled), what);
+            }
+        }
+    }
 }
