--- a/src/test/java/org/quincecross/emulator/BadNightsTest.java
+++ b/src/test/java/org/quincecross/emulator/BadNightsTest.java
@@ -23,45 +23,8 @@
 import org.quincecross.wire.Json;
 
 /** The operators' bad nights, in virtual time: silent and frozen controllers, deaf ones, storms of questions, jobs that only fail. */
-class BadNightsTest {
-    private static final int MACHINES = 45;
-
-    private static final String JOBS = """
-            [[jobs]]
-            name = "front"
-            shape = "service"
-            rank = "critical"
-            team = "web"
-            copies = 12
-            tasks = 3
-            cpus = 2
-            memory_gb = 4
-            spread = true
-
-            [[jobs]]
-            name = "rebuild"
-            shape = "array"
-            rank = "standard"
-            team = "batch"
-            copies = 12
-            every_s = 1.5
-            tasks = 24
-            cpus = 1
-            memory_gb = 2
-            run_s = 6
-            """;
-
-    private final Site site = Site.tryOut(MACHINES, true);
-    private final World world;
-    private final List<JobId> services = new ArrayList<>();
-    private final List<JobId> arrays = new ArrayList<>();
-
+class BadNightsTest extends BusySite {
     BadNightsTest() throws BadMessage {
-        world = new World(site, 5, Meter.OFF);
-        for (JobsFile.Due due : JobsFile.read(JOBS, site)) {
-            world.time().at(4 + due.atS(), () -> world.users().submit(due.job()));
-            (due.job().jobClass().equals("rebuild") ? arrays : services).add(due.job().id());
-        }
     }
 
     private static Job array(int number, int tasks) {
@@ -73,19 +36,6 @@
                 false, false, false, "other", 0.5, Span.ofSeconds(seconds), Span.ZERO, Span.ZERO, null);
     }
 
-    private int replicas() {
-        return services.stream().mapToInt(world.rules()::onMachines).sum();
-    }
-
-    private void assertAllIsWell(double atS) {
-        world.time().runUntil(atS);
-        assertEquals(List.of(), world.rules().broken());
-        for (JobId id : arrays) {
-            assertEquals("done", world.users().told().get(id), id.text());
-        }
-        assertEquals(36, replicas(), "replicas");
-    }
-
     /** How many replicas a controller believes to run. */
     private int believed(int node) {
         int[] sum = new int[1];
@@ -251,12 +201,7 @@
                 Site growing = Site.tryOut(MACHINES, false);
                 World other = new World(growing, (long) (seconds * 10), Meter.OFF);
                 List<JobId> done = new ArrayList<>();
-                for (JobsFile.Due due : JobsFile.read(JOBS, growing)) {
-                    other.time().at(4 + due.atS(), () -> other.users().submit(due.job()));
-                    if (due.job().jobClass().equals("rebuild")) {
-                        done.add(due.job().id());
-                    }
-                }
+                submit(other, new ArrayList<>(), done);
                 Job cancelledJob = array(72_000, 40, 400);
                 JobId cancelled = cancelledJob.id();
                 other.time().at(20, () -> other.users().submit(cancelledJob));
--- /dev/null
+++ b/src/test/java/org/quincecross/emulator/BusySite.java
@@ -0,0 +1,68 @@
+package org.quincecross.emulator;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.quincecross.model.JobId;
+import org.quincecross.wire.BadMessage;
+
+/** Three controllers, 45 machines, services of 36 replicas, and arrays that come for a while, in virtual time. */
+abstract class BusySite {
+    static final int MACHINES = 45;
+
+    static final String JOBS = """
+            [[jobs]]
+            name = "front"
+            shape = "service"
+            rank = "critical"
+            team = "web"
+            copies = 12
+            tasks = 3
+            cpus = 2
+            memory_gb = 4
+            spread = true
+
+            [[jobs]]
+            name = "rebuild"
+            shape = "array"
+            rank = "standard"
+            team = "batch"
+            copies = 12
+            every_s = 1.5
+            tasks = 24
+            cpus = 1
+            memory_gb = 2
+            run_s = 6
+            """;
+
+    final Site site = Site.tryOut(MACHINES, true);
+    final World world = new World(site, 5, Meter.OFF);
+    final List<JobId> services = new ArrayList<>();
+    final List<JobId> arrays = new ArrayList<>();
+
+    BusySite() throws BadMessage {
+        submit(world, services, arrays);
+    }
+
+    /** Has the jobs submitted in a world from its fourth second on, and notes which they are. */
+    static void submit(World world, List<JobId> services, List<JobId> arrays) throws BadMessage {
+        for (JobsFile.Due due : JobsFile.read(JOBS, world.site())) {
+            world.time().at(4 + due.atS(), () -> world.users().submit(due.job()));
+            (due.job().jobClass().equals("rebuild") ? arrays : services).add(due.job().id());
+        }
+    }
+
+    int replicas() {
+        return services.stream().mapToInt(world.rules()::onMachines).sum();
+    }
+
+    void assertAllIsWell(double atS) {
+        world.time().runUntil(atS);
+        assertEquals(List.of(), world.rules().broken());
+        for (JobId id : arrays) {
+            assertEquals("done", world.users().told().get(id), id.text());
+        }
+        assertEquals(36, replicas(), "replicas");
+    }
+}
--- a/src/test/java/org/quincecross/emulator/HardCasesTest.java
+++ b/src/test/java/org/quincecross/emulator/HardCasesTest.java
@@ -18,46 +18,8 @@
 import org.quincecross.wire.BadMessage;
 
 /** What happens to a fleet all at once, in virtual time. */
-class HardCasesTest {
-    private static final int MACHINES = 45;
-
-    private static final String JOBS = """
-            [[jobs]]
-            name = "front"
-            shape = "service"
-            rank = "critical"
-            team = "web"
-            copies = 12
-            tasks = 3
-            cpus = 2
-            memory_gb = 4
-            spread = true
-
-            [[jobs]]
-            name = "rebuild"
-            shape = "array"
-            rank = "standard"
-            team = "batch"
-            copies = 12
-            every_s = 1.5
-            tasks = 24
-            cpus = 1
-            memory_gb = 2
-            run_s = 6
-            """;
-
-    private final Site site = Site.tryOut(MACHINES, true);
-    private final World world;
-    private final List<JobId> arrays = new ArrayList<>();
-
+class HardCasesTest extends BusySite {
     HardCasesTest() throws BadMessage {
-        world = new World(site, 5, Meter.OFF);
-        for (JobsFile.Due due : JobsFile.read(JOBS, site)) {
-            world.time().at(4 + due.atS(), () -> world.users().submit(due.job()));
-            if (due.job().jobClass().equals("rebuild")) {
-                arrays.add(due.job().id());
-            }
-        }
     }
 
     private static Job oneTask(JobId id) {
@@ -65,16 +27,6 @@
                 Span.ofSeconds(6), Span.ZERO, Span.ZERO, null);
     }
 
-    private void assertAllIsWell(double atS) {
-        world.time().runUntil(atS);
-        assertEquals(List.of(), world.rules().broken());
-        for (JobId id : arrays) {
-            assertEquals("done", world.users().told().get(id), id.text());
-        }
-        assertEquals(36, world.users().told().keySet().stream().filter(id -> !arrays.contains(id))
-                .mapToInt(world.rules()::onMachines).sum(), "replicas");
-    }
-
     /** All controllers begin to read the records and are killed on the way, three times; then they come up. */
     @Test
     void aRestartInTheMiddleOfAPageOfRecords() {
