Fields that a build does not know survive its rewrites; settings of a newer build are read by an older one

Need (rolling out): an older leader that rewrote a block, and whoever cancelled a job, dropped what a newer build had put there. Found on the way: a record of operators' settings with a name that this build does not know was refused whole, and the controller went by the defaults, so it would rent although operators had said that nothing is to be rented. Change: blocks, jobs, bundles and settings keep unknown fields; only what an operator says is refused for an unknown name. Generated test, old reader and writer and back.

--- a/src/main/java/org/quincecross/admin/AdminApi.java
+++ b/src/main/java/org/quincecross/admin/AdminApi.java
@@ -160,17 +160,20 @@
     /** Takes {@code {"version": V, "settings": {...}}}, where V is the version that the change was made on. */
     private void change(byte[] body, Consumer<HttpResponse> reply) {
         OperatorSettings next;
+        Map<String, Object> record;
         Revision version;
         try {
             Fields in = Json.parseFields(body);
             version = new Revision(in.unsigned("version"));
             next = OperatorSettings.read(in.raw("settings"), present());
+            record = next.write();
+            record.putAll(OperatorSettings.unknown(ledger.operatorSettings()));
         } catch (BadMessage e) {
             reply.accept(error(400, e.getMessage()));
             return;
         }
         client.txn(List.of(new Guard(Keys.OPERATOR_SETTINGS, version)),
-                List.of(Change.put(Keys.OPERATOR_SETTINGS, next.write())), outcome -> {
+                List.of(Change.put(Keys.OPERATOR_SETTINGS, record)), outcome -> {
                     switch (outcome.kind()) {
                         case COMMITTED -> {
                             LOG.info("settings changed: {}", next);
--- a/src/main/java/org/quincecross/leader/Results.java
+++ b/src/main/java/org/quincecross/leader/Results.java
@@ -60,7 +60,7 @@
                 due |= now.since(since.computeIfAbsent(id, j -> now)).isMoreThan(GATHER);
                 unfinished.put(id, all);
             } else {
-                plan.put(Keys.job(id), JobRecord.done());
+                plan.put(Keys.job(id), ledger.job(id).done());
             }
         }
         if (due) {
--- a/src/main/java/org/quincecross/state/BlockLease.java
+++ b/src/main/java/org/quincecross/state/BlockLease.java
@@ -27,10 +27,12 @@
  * @param life the life of the holder that the lease was made for
  * @param leaving machines that are to go back to the cloud, and get no more work
  * @param version of this record
+ * @param others fields of the record that this build does not know: they are written as they were read
  */
 public record BlockLease(
         BlockId id, MemberId holder, Incarnation life, String type, String zone, boolean spot,
-        Map<MachineId, Machine> machines, Set<MachineId> leaving, Token token, Revision version) {
+        Map<MachineId, Machine> machines, Set<MachineId> leaving, Token token, Revision version, Map<String, Object> others) {
+    private static final Set<String> KNOWN = Set.of("holder", "life", "type", "zone", "spot", "machines", "token", "leaving");
 
     static BlockLease read(BlockId id, Object value, Revision version) throws BadMessage {
         Fields in = Fields.of(value, "a block");
@@ -51,7 +53,7 @@
             in.texts("leaving").forEach(name -> leaving.add(new MachineId(name)));
         }
         return new BlockLease(id, new MemberId(in.text("holder")), new Incarnation(in.unsigned("life")), type, zone, spot,
-                machines, leaving, new Token(in.has("token") ? in.unsigned("token") : version.number()), version);
+                machines, leaving, new Token(in.has("token") ? in.unsigned("token") : version.number()), version, in.others(KNOWN));
     }
 
     public Map<String, Object> write() {
@@ -61,6 +63,7 @@
         }
         Map<String, Object> out = Json.object("holder", holder.text(), "life", life.number(), "type", type, "zone", zone,
                 "spot", spot, "machines", list);
+        out.putAll(others);
         if (token.number() != 0) {
             out.put("token", token.number());
         }
@@ -73,18 +76,18 @@
     /** A block as it is to be leased for the first time. */
     public static BlockLease first(BlockId id, MemberRecord holder, Machine machine) {
         return new BlockLease(id, holder.member(), holder.life(), machine.type(), machine.zone(), machine.spot(),
-                Map.of(machine.id(), machine), Set.of(), Token.NONE, Revision.NONE);
+                Map.of(machine.id(), machine), Set.of(), Token.NONE, Revision.NONE, Map.of());
     }
 
     /** The block under another holder, whose token is the revision of the lease to be written. */
     public BlockLease heldBy(MemberRecord member) {
-        return new BlockLease(id, member.member(), member.life(), type, zone, spot, machines, leaving, Token.NONE, version);
+        return new BlockLease(id, member.member(), member.life(), type, zone, spot, machines, leaving, Token.NONE, version, others);
     }
 
     public BlockLease with(Machine machine) {
         Map<MachineId, Machine> more = new LinkedHashMap<>(machines);
         more.put(machine.id(), machine);
-        return new BlockLease(id, holder, life, type, zone, spot, more, leaving, token, version);
+        return new BlockLease(id, holder, life, type, zone, spot, more, leaving, token, version, others);
     }
 
     public BlockLease without(MachineId machine) {
@@ -92,12 +95,12 @@
         fewer.remove(machine);
         Set<MachineId> left = new LinkedHashSet<>(leaving);
         left.remove(machine);
-        return new BlockLease(id, holder, life, type, zone, spot, fewer, left, token, version);
+        return new BlockLease(id, holder, life, type, zone, spot, fewer, left, token, version, others);
     }
 
     public BlockLease leaving(MachineId machine) {
         Set<MachineId> more = new LinkedHashSet<>(leaving);
         more.add(machine);
-        return new BlockLease(id, holder, life, type, zone, spot, machines, more, token, version);
+        return new BlockLease(id, holder, life, type, zone, spot, machines, more, token, version, others);
     }
 }
--- a/src/main/java/org/quincecross/state/JobRecord.java
+++ b/src/main/java/org/quincecross/state/JobRecord.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.quincecross.model.Job;
 import org.quincecross.model.JobId;
 import org.quincecross.model.JobPhase;
@@ -18,8 +19,12 @@
  * @param job null once the job is done: only its end is still asked for
  * @param acceptedMs the time of day at which it was accepted; {@code cancelledMs}: at which it was cancelled, or 0
  * @param version while the job is open, also its place among the accepted jobs
+ * @param others fields of the record that this build does not know, {@code jobOthers} those of the job's description: a record that is
+ *        written anew has them as they were read
  */
-public record JobRecord(JobId id, Job job, JobPhase phase, long acceptedMs, long cancelledMs, Revision version) {
+public record JobRecord(JobId id, Job job, JobPhase phase, long acceptedMs, long cancelledMs, Revision version, Map<String, Object> others,
+        Map<String, Object> jobOthers) {
+    private static final Set<String> KNOWN = Set.of("phase", "at", "cancelled", "job");
 
     static JobRecord read(JobId id, Object value, Revision version) throws BadMessage {
         Fields in = Fields.of(value, "a job record");
@@ -29,7 +34,8 @@
             throw new BadMessage("an open job without its description");
         }
         return new JobRecord(id, job, phase, in.has("at") ? in.unsigned("at") : 0,
-                in.has("cancelled") ? in.unsigned("cancelled") : 0, version);
+                in.has("cancelled") ? in.unsigned("cancelled") : 0, version, in.others(KNOWN),
+                job == null ? Map.of() : in.fields("job").others(JobCodec.FIELDS));
     }
 
     /** Several jobs accepted in one change. */
@@ -42,7 +48,8 @@
         List<JobRecord> records = new ArrayList<>();
         for (Fields in : Fields.of(value, "a bundle").objects("jobs")) {
             Job job = JobCodec.read(in.fields("job"));
-            records.add(new JobRecord(job.id(), job, JobPhase.OPEN, in.unsigned("at"), 0, version));
+            records.add(new JobRecord(job.id(), job, JobPhase.OPEN, in.unsigned("at"), 0, version, in.others(KNOWN),
+                    in.fields("job").others(JobCodec.FIELDS)));
         }
         return records;
     }
@@ -52,12 +59,18 @@
     }
 
     /** Nobody needs the description of a done job: its tasks are off their machines. */
-    public static Map<String, Object> done() {
-        return Json.object("phase", "done");
+    public Map<String, Object> done() {
+        Map<String, Object> out = Json.object("phase", "done");
+        out.putAll(others);
+        return out;
     }
 
     /** A cancelled job's tasks count until they are gone, so its description stays. */
     public Map<String, Object> cancelled(long nowMs) {
-        return Json.object("phase", "cancelled", "at", acceptedMs, "cancelled", nowMs, "job", JobCodec.write(job));
+        Map<String, Object> description = JobCodec.write(job);
+        description.putAll(jobOthers);
+        Map<String, Object> out = Json.object("phase", "cancelled", "at", acceptedMs, "cancelled", nowMs, "job", description);
+        out.putAll(others);
+        return out;
     }
 }
--- a/src/main/java/org/quincecross/state/Ledger.java
+++ b/src/main/java/org/quincecross/state/Ledger.java
@@ -236,7 +236,7 @@
     /** The operators' settings; the defaults where a later version wrote what cannot be read: better to go on than to guess. */
     public OperatorSettings operatorSettingsOrDefaults() {
         try {
-            return operatorSettings == null ? OperatorSettings.DEFAULTS : OperatorSettings.read(operatorSettings, OperatorSettings.DEFAULTS);
+            return operatorSettings == null ? OperatorSettings.DEFAULTS : OperatorSettings.readRecord(operatorSettings, OperatorSettings.DEFAULTS);
         } catch (BadMessage e) {
             return OperatorSettings.DEFAULTS;
         }
--- a/src/main/java/org/quincecross/state/OperatorSettings.java
+++ b/src/main/java/org/quincecross/state/OperatorSettings.java
@@ -22,16 +22,20 @@
     private static final double LONGEST_IDLE_S = 86_400;
     private static final int MOST_SPARE = 1000;
 
-    /** Reads settings; what is left out keeps its value of {@code before}. Unknown names are refused. */
+    /** Reads what an operator says; what is left out keeps its value of {@code before}. Unknown names are refused. */
     public static OperatorSettings read(Object value, OperatorSettings before) throws BadMessage {
-        Fields in = Fields.of(value, "the settings");
-        if (value instanceof Map<?, ?> map) {
-            for (Object name : map.keySet()) {
-                if (!before.write().containsKey(name)) {
-                    throw new BadMessage("unknown setting " + name);
-                }
-            }
+        for (String name : unknown(value).keySet()) {
+            throw new BadMessage("unknown setting " + name);
         }
+        return readRecord(value, before);
+    }
+
+    /**
+     * Reads the record. Names that this build does not know are those of a newer one: were the record refused for them, an older
+     * controller would rent although operators have said that nothing is to be rented.
+     */
+    static OperatorSettings readRecord(Object value, OperatorSettings before) throws BadMessage {
+        Fields in = Fields.of(value, "the settings");
         double idle = in.has("idle_s") ? in.amount("idle_s") : before.idleSeconds();
         if (idle > LONGEST_IDLE_S) {
             throw new BadMessage("field idle_s of the settings is longer than a day");
@@ -42,6 +46,11 @@
                 in.has("gone") ? List.copyOf(in.texts("gone")) : before.gone());
     }
 
+    /** The settings of a record that this build does not know. */
+    public static Map<String, Object> unknown(Object value) throws BadMessage {
+        return value == null ? Map.of() : Fields.of(value, "the settings").others(DEFAULTS.write().keySet());
+    }
+
     public Map<String, Object> write() {
         return Json.object("renting", renting, "returning", returning, "idle_s", idleSeconds, "spare_tasks", spareTasks,
                 "most_level", mostLevel, "gone", gone);
--- a/src/main/java/org/quincecross/wire/Fields.java
+++ b/src/main/java/org/quincecross/wire/Fields.java
@@ -2,6 +2,8 @@
 
 import java.math.BigInteger;
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -29,6 +31,22 @@
         return map.keySet().stream().map(String::valueOf).toList();
     }
 
+    /**
+     * The fields that are not among {@code known}, as they are: whoever writes a record anew keeps what a newer build has put there.
+     * Null values count as left out.
+     */
+    public Map<String, Object> others(Collection<String> known) {
+        Map<String, Object> others = null;
+        for (Map.Entry<?, ?> field : map.entrySet()) {
+            String name = String.valueOf(field.getKey());
+            if (field.getValue() != null && !known.contains(name)) {
+                others = others == null ? new LinkedHashMap<>() : others;
+                others.put(name, field.getValue());
+            }
+        }
+        return others == null ? Map.of() : others;
+    }
+
     public boolean has(String name) {
         return map.get(name) != null;
     }
--- a/src/main/java/org/quincecross/wire/JobCodec.java
+++ b/src/main/java/org/quincecross/wire/JobCodec.java
@@ -3,6 +3,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.quincecross.model.Job;
 import org.quincecross.model.JobId;
 import org.quincecross.model.JobPhase;
@@ -35,6 +36,10 @@
         return id;
     }
 
+    /** The fields of a job's description. */
+    public static final Set<String> FIELDS = Set.of("Uid", "Lane", "Crew", "Shape", "Rank", "Pieces", "Cpus", "Cards", "MemGb", "Hulls", "Yard",
+            "OneZone", "Scatter", "Loaners", "Bundle", "ImageGb", "GuessS", "MarkEveryS", "MarkCostS", "DueS");
+
     public static Job read(Fields in) throws BadMessage {
         List<String> types = in.has("Hulls") ? in.texts("Hulls") : null;
         return new Job(
--- a/src/test/java/org/quincecross/leader/BooksTest.java
+++ b/src/test/java/org/quincecross/leader/BooksTest.java
@@ -92,7 +92,7 @@
                     if (ledger.job(id) == null) {
                         put(Keys.job(id), JobRecord.open(job(number), 0));
                     } else if (random.nextInt(3) == 0 && ledger.job(id).phase() == JobPhase.OPEN) {
-                        put(Keys.job(id), random.nextBoolean() ? JobRecord.done() : ledger.job(id).cancelled(1));
+                        put(Keys.job(id), random.nextBoolean() ? ledger.job(id).done() : ledger.job(id).cancelled(1));
                     }
                 }
                 case 1 -> put(Keys.block(new BlockId("b" + block)), random.nextInt(4) == 0 ? null : lease(block).write());
--- a/src/test/java/org/quincecross/state/RecordsTest.java
+++ b/src/test/java/org/quincecross/state/RecordsTest.java
@@ -1,16 +1,33 @@
 package org.quincecross.state;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import net.jqwik.api.constraints.AlphaChars;
 import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import net.jqwik.api.constraints.StringLength;
+import org.quincecross.model.BlockId;
+import org.quincecross.model.Endpoint;
+import org.quincecross.model.Incarnation;
+import org.quincecross.model.Job;
 import org.quincecross.model.JobId;
+import org.quincecross.model.Machine;
+import org.quincecross.model.MachineId;
+import org.quincecross.model.MemberId;
+import org.quincecross.model.Rank;
+import org.quincecross.model.Resources;
 import org.quincecross.model.Revision;
+import org.quincecross.model.Shape;
+import org.quincecross.model.Span;
 import org.quincecross.model.TaskSet;
+import org.quincecross.rollout.Build;
 import org.quincecross.wire.BadMessage;
 import org.quincecross.wire.Json;
 
@@ -53,4 +70,45 @@
         }
         assertEquals(tasks, Allocation.read(throughJson(Allocation.write(tasks)), Revision.NONE).tasks());
     }
+
+    /** What a newer build has put into a record is there again after an older one has read it, changed what it knows, and written it. */
+    @Property(tries = 200, seed = "15")
+    void unknownFieldsSurviveARewrite(@ForAll @Size(max = 4) Map<@AlphaChars @StringLength(min = 9, max = 12) String, @IntRange Integer> newer)
+            throws BadMessage {
+        Map<String, Object> extra = new java.util.LinkedHashMap<>();
+        newer.forEach((name, value) -> extra.put(name, Json.object("n", (long) value, "list", List.of((long) value, "x"))));
+
+        Machine machine = new Machine(new MachineId("m-1"), new Endpoint("10.1.0.1", 9000), "t", "z", false);
+        MemberRecord member = new MemberRecord(new MemberId("n0"), new Incarnation(7), "z", Build.BEFORE_LEVELS, new Revision(3));
+        Map<String, Object> block = BlockLease.first(new BlockId("b"), member, machine).write();
+        block.putAll(extra);
+        BlockLease lease = BlockLease.read(new BlockId("b"), throughJson(block), new Revision(9));
+        Machine more = new Machine(new MachineId("m-2"), new Endpoint("10.1.0.2", 9000), "t", "z", false);
+        for (BlockLease changed : List.of(lease, lease.with(more), lease.with(more).leaving(machine.id()).without(machine.id()), lease.heldBy(member))) {
+            assertTrue(changed.write().entrySet().containsAll(extra.entrySet()), changed.toString());
+        }
+
+        Job job = new Job(new JobId("job-5"), "c", "team", Shape.ARRAY, Rank.NORMAL, 3, new Resources(1, 0, 1), null, null, false, false, false,
+                "i", 1, Span.ofSeconds(5), Span.ZERO, Span.ZERO, null);
+        Map<String, Object> open = JobRecord.open(job, 77);
+        open.putAll(extra);
+        @SuppressWarnings("unchecked")
+        Map<String, Object> description = (Map<String, Object>) open.get("job");
+        description.putAll(extra);
+        Map<String, Object> cancelled = JobRecord.read(job.id(), throughJson(open), new Revision(4)).cancelled(99);
+        assertTrue(JobRecord.read(job.id(), throughJson(open), new Revision(4)).done().entrySet().containsAll(extra.entrySet()));
+        assertTrue(cancelled.entrySet().containsAll(extra.entrySet()));
+        assertTrue(((Map<?, ?>) cancelled.get("job")).entrySet().containsAll(extra.entrySet()));
+        Map<String, Object> fromBundle = JobRecord.readBundle(throughJson(JobRecord.bundle(List.of(open))), new Revision(5)).get(0).cancelled(99);
+        assertEquals(cancelled, fromBundle);
+
+        Map<String, Object> settings = new OperatorSettings(false, true, 60, 3, 0, List.of()).write();
+        settings.putAll(extra);
+        assertEquals(new OperatorSettings(false, true, 60, 3, 0, List.of()), OperatorSettings.readRecord(throughJson(settings), OperatorSettings.DEFAULTS),
+                "an older build rents although operators have said no");
+        assertEquals(extra, OperatorSettings.unknown(throughJson(settings)));
+        if (!extra.isEmpty()) {
+            assertThrows(BadMessage.class, () -> OperatorSettings.read(throughJson(settings), OperatorSettings.DEFAULTS), "of an operator it is a slip");
+        }
+    }
 }
