--- a/src/test/java/org/quincecross/emulator/Day.java
+++ b/src/test/java/org/quincecross/emulator/Day.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import java.util.function.Predicate;
 import org.quincecross.model.Job;
@@ -11,6 +12,8 @@
 import org.quincecross.model.Resources;
 import org.quincecross.model.Shape;
 import org.quincecross.model.Span;
+import org.quincecross.rollout.Build;
+import org.quincecross.wire.Features;
 
 /** A day drawn from a seed: jobs of all kinds, troubles alone and together, then quiet. */
 final class Day {
@@ -26,9 +29,43 @@
     private final World world;
     private final Random random;
     private final Liveness liveness;
+    private boolean rolls;
+
+    private static final Build OLD = Build.present("old", 1);
+    private static final Build NEW = Build.present("new", 2);
 
     Day(long seed) {
-        world = new World(seed);
+        this(seed, new World(seed));
+    }
+
+    /** The same with controllers that are replaced by ones of a newer build, back half way or not, in whatever goes on. */
+    static Day ofRolls(long seed) {
+        World world = new World(Site.small(), seed, Meter.OFF, new Features(null, null, OLD));
+        world.state().applyLate(60);
+        Day day = new Day(seed, world);
+        day.rollAll(10 + 40 * day.random.nextDouble(), NEW);
+        if (day.random.nextBoolean()) {
+            day.rollAll(30 + 40 * day.random.nextDouble(), OLD);
+            // Those that the switch has left behind are out until they are replaced again.
+            day.rollAll(70 + 60 * day.random.nextDouble(), NEW);
+        }
+        day.rollAll(LAST_TROUBLE_S + 1, NEW);
+        day.rolls = true;
+        return day;
+    }
+
+    /** Each is replaced by another build, one after the other; some that have it already among them. */
+    private void rollAll(double fromS, Build build) {
+        double at = fromS;
+        for (int node = 0; node < world.nodeCount(); node++) {
+            int each = node;
+            world.time().at(at, () -> world.roll(each, build));
+            at += 1 + random.nextDouble() * 12;
+        }
+    }
+
+    private Day(long seed, World world) {
+        this.world = world;
         random = world.random();
         liveness = new Liveness(world);
         for (int i = 0; i < JOBS; i++) {
@@ -52,6 +89,9 @@
         if (world.rules().starts() <= JOBS) {
             wrong.add("little was started: " + world.rules().starts());
         }
+        if (rolls && !(world.state().value("q/level") instanceof Map<?, ?> level && level.get("level").equals(2L))) {
+            wrong.add("all have the new build, and the level is " + world.state().value("q/level"));
+        }
         return wrong;
     }
 
--- a/src/test/java/org/quincecross/emulator/SeedsTest.java
+++ b/src/test/java/org/quincecross/emulator/SeedsTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentSkipListMap;
+import java.util.function.LongFunction;
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
@@ -17,12 +18,22 @@
 class SeedsTest {
     @Test
     void everyDayKeepsTheRulesAndNothingHangs() {
+        play(Day::new);
+    }
+
+    /** The same while controllers are replaced by ones with another form of the records. */
+    @Test
+    void everyDayOfRollsKeepsTheRulesAndNothingHangs() {
+        play(Day::ofRolls);
+    }
+
+    private static void play(LongFunction<Day> day) {
         String[] range = System.getProperty("seeds", "20000-24999").split("-");
         Map<Long, Object> wrong = new ConcurrentSkipListMap<>();
         LongStream.rangeClosed(Long.parseLong(range[0]), Long.parseLong(range[1])).parallel().forEach(seed -> {
             Object findings;
             try {
-                findings = new Day(seed).play();
+                findings = day.apply(seed).play();
             } catch (RuntimeException | AssertionError e) {
                 findings = e;
             }
