Settings that differ between controllers are announced: the lowest limit holds; idle work has 20 s before it gives way

Rolling out: while controllers have different files of the platform, members announce marks of the parts that have to be equal and the teams' limits (with the levels alone: off, nothing is announced); the leader admits by the lowest limit, and the status says who differs in what.

--- a/src/main/java/org/quincecross/admin/AdminApi.java
+++ b/src/main/java/org/quincecross/admin/AdminApi.java
@@ -9,9 +9,11 @@
 import org.quincecross.http.HttpRequest;
 import org.quincecross.http.HttpResponse;
 import org.quincecross.leader.Leader;
+import org.quincecross.model.MemberId;
 import org.quincecross.model.Revision;
 import org.quincecross.net.Timers;
 import org.quincecross.peer.PeerReport;
+import org.quincecross.rollout.Terms;
 import org.quincecross.state.BlockLease;
 import org.quincecross.state.Follower;
 import org.quincecross.state.Keys;
@@ -43,10 +45,12 @@
     private final Metrics metrics;
     private final Stalls stalls;
     private final ServedLog served;
+    private final MemberId self;
 
     /** @param served null where it is not counted who is served */
     public AdminApi(Timers timers, Ledger ledger, Follower follower, Membership membership, StateClient client,
-            Holdings holdings, Leader leader, Metrics metrics, Stalls stalls, ServedLog served) {
+            Holdings holdings, Leader leader, Metrics metrics, Stalls stalls, ServedLog served,
+            MemberId self) {
         this.timers = timers;
         this.ledger = ledger;
         this.follower = follower;
@@ -57,6 +61,7 @@
         this.metrics = metrics;
         this.stalls = stalls;
         this.served = served;
+        this.self = self;
     }
 
     public void handle(HttpRequest request, Consumer<HttpResponse> reply) {
@@ -101,7 +106,7 @@
         });
         return Json.object("membership", membership.state().toString(), "life", membership.life().number(),
                 "role", leader.state().toString(), "leader", ledger.leader() == null ? null : ledger.leader().member().text(),
-                "members", members, "builds", builds, "unable", membership.unable(), "level", ledger.level().level().number(),
+                "members", members, "builds", builds, "unable", membership.unable(), "settings_differ", Terms.differences(self, ledger.terms()), "level", ledger.level().level().number(),
                 "level_since", ledger.level().version().number(), "level_state", leader.isLeading() ? leader.levels().decision().state().toString() : null,
                 "level_waits_for", leader.isLeading() ? leader.levels().decision().why() : null, "revision", ledger.revision().number(),
                 "unconfirmed_ms", follower.confirmed() == null ? null : timers.now().since(follower.confirmed()).millis(),
--- a/src/main/java/org/quincecross/api/Controller.java
+++ b/src/main/java/org/quincecross/api/Controller.java
@@ -106,7 +106,7 @@
         this.settings = settings;
         StateClient client = new StateClient(timers, http, settings.state(), settings.stateLimits());
         follower = new Follower(timers, client, ledger);
-        membership = new Membership(timers, client, settings.member(), settings.zone(), features.build());
+        membership = new Membership(timers, client, settings.member(), settings.zone(), features.build(), settings.terms());
         holdings = new Holdings(this, settings.member(), membership::life);
         fleet = new Fleet(timers, http, ledger, settings, foresight, membership::life,
                 () -> AdminApi.settings(ledger));
@@ -118,7 +118,7 @@
         agents = new AgentApi(timers, ledger, holdings, leader, views, settings.member());
         stalls = new Stalls(timers, ledger, holdings, leader, this::running);
         served = features.servedEvery() == null ? null : new ServedLog(timers, ledger, leader, settings, clockMs, features.servedEvery());
-        admin = new AdminApi(timers, ledger, follower, membership, client, holdings, leader, metrics, stalls, served);
+        admin = new AdminApi(timers, ledger, follower, membership, client, holdings, leader, metrics, stalls, served, settings.member());
         longestUnconfirmed = longestUnconfirmed(settings.workers());
     }
 
--- a/src/main/java/org/quincecross/block/RoomMaker.java
+++ b/src/main/java/org/quincecross/block/RoomMaker.java
@@ -28,6 +28,9 @@
     /** What nobody expects by any time is stopped as soon as other work finds no room. */
     private static final Span IDLE_PATIENCE = Span.ofSeconds(1);
 
+    /** Before that it is not: its floors and turns would come to nothing, and machines would do little but start and save. */
+    private static final Span IDLE_TURN = Span.ofSeconds(20);
+
     private final HolderContext context;
     private final BlockHolder holder;
     private final Placements placements;
@@ -88,7 +91,7 @@
         Preemption preemption = null;
         for (Map.Entry<Entry, Boolean> waits : impatient.entrySet()) {
             Entry entry = waits.getKey();
-            preemption = preemption == null ? new Preemption(scheduler, stoppable(), stopping()) : preemption;
+            preemption = preemption == null ? new Preemption(scheduler, stoppable(now), stopping()) : preemption;
             for (Preemption.Running victim : preemption.makeRoom(entry, waits.getValue())) {
                 LOG.info("block {}: {} makes room for {}", holder.id(), victim.task(), entry.tasks().get(0));
                 stopAll(placements.get(victim.task()), true, now);
@@ -105,13 +108,13 @@
         return stopping;
     }
 
-    private List<Preemption.Running> stoppable() {
+    private List<Preemption.Running> stoppable(SteadyTime now) {
         List<Preemption.Running> running = new ArrayList<>();
         for (Placement.State state : List.of(Placement.State.STARTING, Placement.State.ACTIVE)) {
             for (Placement placement : placements.in(state)) {
                 if (placement.job().shape() != Shape.GANG) {
                     running.add(new Preemption.Running(placement.task(), placement.machine(), placement.job().rank(),
-                            context.isIdle(placement.job()),
+                            context.isIdle(placement.job()) && now.since(placement.since()).isMoreThan(IDLE_TURN),
                             placement.job().each(), placement.job().saves(), placement.since()));
                 }
             }
--- a/src/main/java/org/quincecross/emulator/Site.java
+++ b/src/main/java/org/quincecross/emulator/Site.java
@@ -181,6 +181,11 @@
                 Span.ofSeconds(0), false, List.of());
     }
 
+    /** The same with other teams. */
+    Site with(Map<String, Team> other) {
+        return new Site(nodeZones, zones, types, pools, mostMachines, other, workers, stateLimits, cloudLimits, quota, objectives, restart, odd, classes);
+    }
+
     /** What controller {@code node} is told; {@code state} is where it reaches the state service. */
     Settings settings(int node, List<Endpoint> listen, List<Endpoint> peers, Endpoint cloud, Endpoint state) {
         List<Settings.Sibling> siblings = new ArrayList<>();
--- a/src/main/java/org/quincecross/emulator/World.java
+++ b/src/main/java/org/quincecross/emulator/World.java
@@ -44,6 +44,7 @@
     private final Surroundings around;
     private final Meter meter;
     private final List<Endpoint> nodes;
+    private final Map<Integer, Map<String, Team>> toldTeams = new HashMap<>();
     private boolean memoryIsShort;
     private Trap trap;
     private double clockAheadS = EPOCH_S;
@@ -180,7 +181,7 @@
                         send.run();
                     }
                 },
-                peerLinks(name), site.settings(node, nodes, nodes, CLOUD, STATE), features[node], () -> (long) ((time.seconds() + clockAheadS) * 1000), () -> memoryIsShort);
+                peerLinks(name), site.with(toldTeams.getOrDefault(node, site.teams())).settings(node, nodes, nodes, CLOUD, STATE), features[node], () -> (long) ((time.seconds() + clockAheadS) * 1000), () -> memoryIsShort);
         meter.run("start", controllers[node]::start);
     }
 
@@ -279,6 +280,11 @@
         features[node] = new Features(features[node].overload(), features[node].servedEvery(), build);
     }
 
+    /** From its next start on the platform's file of a controller has other teams than those of the others. */
+    void tellTeams(int node, Map<String, Team> teams) {
+        toldTeams.put(node, teams);
+    }
+
     /** A controller is replaced by one of another build: it ends, and the other is started. */
     void roll(int node, Build build) {
         install(node, build);
--- a/src/main/java/org/quincecross/leader/Leader.java
+++ b/src/main/java/org/quincecross/leader/Leader.java
@@ -33,14 +33,15 @@
 import org.quincecross.overload.Overload;
 import org.quincecross.peer.PeerReport;
 import org.quincecross.peer.PeerViews;
+import org.quincecross.rollout.Terms;
 import org.quincecross.sched.Admission;
 import org.quincecross.sched.Reserve;
 import org.quincecross.state.Allocation;
 import org.quincecross.state.BlockLease;
 import org.quincecross.state.Follower;
+import org.quincecross.state.Foresight;
 import org.quincecross.state.JobRecord;
 import org.quincecross.state.Keys;
-import org.quincecross.state.Foresight;
 import org.quincecross.state.Ledger;
 import org.quincecross.state.MemberRecord;
 import org.quincecross.state.Membership;
@@ -216,9 +217,10 @@
     public Map<JobId, Integer> heldBack(Collection<JobId> jobs) {
         Map<String, Resources> use = books.teamUse();
         Map<JobId, Integer> heldBack = new HashMap<>();
+        Map<String, Team> teams = teams();
         for (JobId id : jobs) {
             Books.Account account = books.account(id);
-            Team team = account == null ? null : settings.teams().get(account.job().team());
+            Team team = account == null ? null : teams.get(account.job().team());
             heldBack.put(id, team == null || account.pool().isEmpty() ? 0 : Math.max(0, account.pool().size()
                     - team.limit().minus(use.getOrDefault(team.name(), Resources.NONE)).count(account.job().each())));
         }
@@ -236,6 +238,11 @@
         return running;
     }
 
+    /** The teams with the limits that hold: while controllers have been told different ones, the lowest. */
+    private Map<String, Team> teams() {
+        return Terms.lowest(settings.teams(), ledger.terms().values());
+    }
+
     /** What is known of an overload; null where work is ordered by due time alone, or nobody leads here. */
     public Overload overload() {
         return isLeading() ? overload : null;
@@ -250,7 +257,7 @@
         Job job = account.job();
         int tasks = job.shape() == Shape.GANG ? job.tasks() : 1;
         String what = account.pool().size() + " tasks in the pool: ";
-        Team team = settings.teams().get(job.team());
+        Team team = teams().get(job.team());
         Resources use = books.teamUse().getOrDefault(job.team(), Resources.NONE);
         if (team == null) {
             return what + "the settings name no team " + job.team();
@@ -485,7 +492,7 @@
                 reserves.put(id, foresight.of(id, timers.now()));
             }
         });
-        Admission admission = new Admission(blocks, settings.teams(), books.teamUse(), reserves);
+        Admission admission = new Admission(blocks, teams(), books.teamUse(), reserves);
         fleet.unmet(admission.run(demands.demands(blocks, timers.now())));
         List<BlockId> toWrite = new ArrayList<>();
         Span gathering = Span.ofSeconds(Math.min(MOST_GATHERING.seconds(),
--- a/src/main/java/org/quincecross/state/Ledger.java
+++ b/src/main/java/org/quincecross/state/Ledger.java
@@ -18,11 +18,13 @@
 import org.quincecross.model.MachineId;
 import org.quincecross.model.MachineType;
 import org.quincecross.model.MemberId;
+import org.quincecross.model.Resources;
 import org.quincecross.model.Revision;
 import org.quincecross.model.TaskSet;
 import org.quincecross.rollout.Build;
 import org.quincecross.rollout.Feature;
 import org.quincecross.rollout.Level;
+import org.quincecross.rollout.Terms;
 import org.quincecross.wire.BadMessage;
 import org.quincecross.wire.CloudCodec;
 import org.quincecross.wire.Fields;
@@ -191,6 +193,13 @@
         return members;
     }
 
+    /** What each member announces that has to be the same on all. */
+    public Map<MemberId, Terms> terms() {
+        Map<MemberId, Terms> terms = new TreeMap<>();
+        members.values().forEach(member -> terms.put(member.member(), member.terms()));
+        return terms;
+    }
+
     /** The leading controller; its version is that of the leadership. Null where there is none. */
     public MemberRecord leader() {
         return Feature.LEADERSHIP_MOVED.isIn(level.level()) ? leads : leader;
@@ -493,6 +502,26 @@
 
     private static MemberRecord member(Object value, Revision version) throws BadMessage {
         Fields in = Fields.of(value, "a member");
-        return new MemberRecord(new MemberId(in.text("member")), new Incarnation(in.unsigned("life")), in.text("zone"), build(in), version);
+        return new MemberRecord(new MemberId(in.text("member")), new Incarnation(in.unsigned("life")), in.text("zone"), build(in), terms(in), version);
+    }
+
+    private static Terms terms(Fields in) throws BadMessage {
+        if (!in.has("marks")) {
+            return Terms.NONE;
+        }
+        Map<String, String> marks = new TreeMap<>();
+        Fields marked = in.fields("marks");
+        for (String part : marked.names()) {
+            marks.put(part, marked.text(part));
+        }
+        Map<String, Resources> limits = new TreeMap<>();
+        Fields limited = in.fields("limits");
+        for (String team : limited.names()) {
+            Fields limit = limited.fields(team);
+            limits.put(team, new Resources(limit.has("cpus") ? limit.amount("cpus") : Double.POSITIVE_INFINITY,
+                    limit.has("gpus") ? limit.amount("gpus") : Double.POSITIVE_INFINITY,
+                    limit.has("memory_gb") ? limit.amount("memory_gb") : Double.POSITIVE_INFINITY));
+        }
+        return new Terms(marks, limits);
     }
 }
--- a/src/main/java/org/quincecross/state/MemberRecord.java
+++ b/src/main/java/org/quincecross/state/MemberRecord.java
@@ -4,11 +4,13 @@
 import org.quincecross.model.MemberId;
 import org.quincecross.model.Revision;
 import org.quincecross.rollout.Build;
+import org.quincecross.rollout.Terms;
 
 /**
  * A controller that is alive: the record goes with the lease that its life is named after.
  *
  * @param build what it can read and write
+ * @param terms what it has been told that has to be the same on all
  */
-public record MemberRecord(MemberId member, Incarnation life, String zone, Build build, Revision version) {
+public record MemberRecord(MemberId member, Incarnation life, String zone, Build build, Terms terms, Revision version) {
 }
--- a/src/main/java/org/quincecross/state/Membership.java
+++ b/src/main/java/org/quincecross/state/Membership.java
@@ -2,19 +2,22 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.function.BooleanSupplier;
 import org.quincecross.model.Incarnation;
 import org.quincecross.model.MemberId;
+import org.quincecross.model.Resources;
 import org.quincecross.model.Revision;
 import org.quincecross.model.Span;
 import org.quincecross.net.HttpOutcome;
 import org.quincecross.net.Timers;
 import org.quincecross.rollout.Build;
+import org.quincecross.rollout.Terms;
 import org.quincecross.wire.BadMessage;
 import org.quincecross.wire.Json;
-import org.quincecross.wire.StateCodec;
 import org.quincecross.wire.StateCodec.Change;
 import org.quincecross.wire.StateCodec.Guard;
+import org.quincecross.wire.StateCodec;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -50,6 +53,7 @@
     private final MemberId member;
     private final String zone;
     private final Build build;
+    private final Terms terms;
     private LevelRecord level = LevelRecord.NONE;
     private String unable = "";
     private int planned;
@@ -57,13 +61,17 @@
     private State state = State.ENDING_FORMER_LIFE;
     private Incarnation life = Incarnation.NONE;
 
-    /** @param build what this controller can read and write */
-    public Membership(Timers timers, StateClient client, MemberId member, String zone, Build build) {
+    /**
+     * @param build what this controller can read and write
+     * @param terms what it has been told that has to be the same on all
+     */
+    public Membership(Timers timers, StateClient client, MemberId member, String zone, Build build, Terms terms) {
         this.timers = timers;
         this.client = client;
         this.member = member;
         this.zone = zone;
         this.build = build;
+        this.terms = terms;
     }
 
     public State state() {
@@ -86,10 +94,25 @@
             record.put("build", build.name());
             record.put("least", build.least().number());
             record.put("most", build.most().number());
+            record.put("marks", terms.marks());
+            Map<String, Object> limits = new TreeMap<>();
+            terms.limits().forEach((team, limit) -> limits.put(team, finite(limit)));
+            record.put("limits", limits);
         }
         return record;
     }
 
+    /** Of a limit what is one: JSON has no word for infinity. */
+    private static Map<String, Object> finite(Resources limit) {
+        Map<String, Object> out = new TreeMap<>();
+        Map.of("cpus", limit.cpus(), "gpus", limit.gpus(), "memory_gb", limit.memoryGb()).forEach((name, amount) -> {
+            if (!amount.isInfinite()) {
+                out.put(name, amount);
+            }
+        });
+        return out;
+    }
+
     /** What this controller can read and write. */
     public Build build() {
         return build;
--- a/src/main/java/org/quincecross/wire/Settings.java
+++ b/src/main/java/org/quincecross/wire/Settings.java
@@ -1,10 +1,12 @@
 package org.quincecross.wire;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.zip.CRC32;
 import org.quincecross.model.Aim;
 import org.quincecross.model.Endpoint;
 import org.quincecross.model.Job;
@@ -13,6 +15,7 @@
 import org.quincecross.model.Resources;
 import org.quincecross.model.Span;
 import org.quincecross.model.Team;
+import org.quincecross.rollout.Terms;
 
 /**
  * The settings file that the platform hands to every controller.
@@ -70,10 +73,27 @@
         return aims(objectives, job);
     }
 
-    /** Whether nobody expects a job by any time, and all others go before it: it takes what is left over. */
+    /** What has to be the same on all controllers, to be announced. */
+    public Terms terms() {
+        Map<String, Resources> limits = new LinkedHashMap<>();
+        teams.forEach((name, team) -> limits.put(name, team.limit()));
+        return new Terms(Map.of("teams", mark(teams), "workers", mark(workers), "objectives", mark(objectives), "zones", mark(zones),
+                "state limits", mark(stateLimits)), limits);
+    }
+
+    private static String mark(Object part) {
+        CRC32 sum = new CRC32();
+        sum.update(part.toString().getBytes(StandardCharsets.UTF_8));
+        return Long.toHexString(sum.getValue());
+    }
+
+    /**
+     * Whether nobody expects a job by any time, and it loses next to nothing when it is stopped: it takes what is left over, and all
+     * others go before it. What cannot save is of the lowest priority like any other: stopped each time, it would never end.
+     */
     public boolean isIdle(Job job) {
         // Asked for every task that runs: without the names of aims, which aims(job) formats.
-        if (job.rank() != Rank.LOW || job.deadline() != null) {
+        if (job.rank() != Rank.LOW || job.deadline() != null || !job.saves()) {
             return false;
         }
         for (Objective objective : objectives) {
--- a/src/test/java/org/quincecross/block/HolderHarness.java
+++ b/src/test/java/org/quincecross/block/HolderHarness.java
@@ -47,6 +47,7 @@
 import org.quincecross.wire.WorkerReport.Piece;
 import org.quincecross.wire.WorkerReport.TaskState;
 import org.quincecross.rollout.Build;
+import org.quincecross.rollout.Terms;
 
 /** A holder of a block of one machine, which has room for two tasks, with the messages of both in the test's hands. */
 abstract class HolderHarness {
@@ -141,7 +142,7 @@
         Job job = new Job(TASK.job(), "c", "team", Shape.ARRAY, Rank.NORMAL, 3, new Resources(4, 0, 1), null, null, false,
                 false, false, "i", 1, Span.ofSeconds(10), Span.ZERO, Span.ZERO, null);
         put(Keys.job(job.id()), JobRecord.open(job, 0));
-        put(Keys.block(BLOCK), BlockLease.first(BLOCK, new MemberRecord(new MemberId("n"), new Incarnation(1), "z", Build.BEFORE_LEVELS,
+        put(Keys.block(BLOCK), BlockLease.first(BLOCK, new MemberRecord(new MemberId("n"), new Incarnation(1), "z", Build.BEFORE_LEVELS, Terms.NONE,
                 new Revision(1)), MACHINE).write());
         holder = new BlockHolder(new Context(), ledger.blocks().get(BLOCK));
         calls.remove(0).accept(HttpOutcome.failed(false)); // the command that shows the token; a report shows it below
--- a/src/test/java/org/quincecross/emulator/RolloutCasesTest.java
+++ b/src/test/java/org/quincecross/emulator/RolloutCasesTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
@@ -12,7 +13,13 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import org.quincecross.http.HttpRequest;
 import org.quincecross.http.HttpResponse;
+import org.quincecross.model.Job;
 import org.quincecross.model.JobId;
+import org.quincecross.model.Rank;
+import org.quincecross.model.Resources;
+import org.quincecross.model.Shape;
+import org.quincecross.model.Span;
+import org.quincecross.model.Team;
 import org.quincecross.rollout.Build;
 import org.quincecross.wire.BadMessage;
 import org.quincecross.wire.Features;
@@ -288,4 +295,37 @@
         world.time().runUntil(world.time().seconds() + 2);
         assertEquals(200, status[0]);
     }
+
+    /** The platform's file of one controller has a lower limit, with work above it running: from then on the lowest holds, whoever leads. */
+    @Test
+    void whileALimitDiffersTheLowestHolds() throws BadMessage {
+        JobId wide = new JobId("job-90000");
+        Job job = new Job(wide, "wide", "batch", Shape.ARRAY, Rank.NORMAL, 400, new Resources(1, 0, 1), null, null, false, false, false, "w", 0.5,
+                Span.ofSeconds(10), Span.ZERO, Span.ZERO, null);
+        rollAll(6, 3, NEW);
+        world.time().at(22, () -> world.users().submit(job));
+        world.time().runUntil(30);
+        assertTrue(world.rules().used("batch").cpus() > 60, "above the limit to come: " + world.rules().used("batch"));
+        Team batch = site.teams().get("batch");
+        Map<String, Team> lower = new HashMap<>(site.teams());
+        lower.put("batch", new Team("batch", batch.guarantee(), new Resources(40, batch.limit().gpus(), batch.limit().memoryGb())));
+        int other = (world.leader() + 1) % world.nodeCount();
+        world.tellTeams(other, lower);
+        world.crash(other);
+        world.time().runUntil(45);
+        assertTrue(world.leader() != other, "the leader was told the higher limit");
+        assertTrue(status(world.leader()).texts("settings_differ").toString().contains(Site.nodeName(other) + " has other teams"),
+                status(world.leader()).texts("settings_differ").toString());
+        double most = 0;
+        for (double at = 50; at < 80; at += 0.5) {
+            world.time().runUntil(at);
+            most = Math.max(most, world.rules().used("batch").cpus());
+        }
+        assertTrue(most > 30 && most <= 40.001, most + " processors of 40");
+        world.tellTeams(other, site.teams());
+        world.crash(other);
+        assertAllIsWell(240, 2);
+        assertEquals("done", world.users().told().get(wide));
+        assertEquals(List.of(), status(0).texts("settings_differ"));
+    }
 }
--- a/src/test/java/org/quincecross/leader/BooksTest.java
+++ b/src/test/java/org/quincecross/leader/BooksTest.java
@@ -39,6 +39,7 @@
 import org.quincecross.state.LedgerTool;
 import org.quincecross.state.MemberRecord;
 import org.quincecross.rollout.Build;
+import org.quincecross.rollout.Terms;
 
 class BooksTest {
     private static final int JOBS = 8;
@@ -64,7 +65,7 @@
     }
 
     private static BlockLease lease(int block) {
-        MemberRecord holder = new MemberRecord(new MemberId("m"), new Incarnation(1), "z", Build.BEFORE_LEVELS, new Revision(1));
+        MemberRecord holder = new MemberRecord(new MemberId("m"), new Incarnation(1), "z", Build.BEFORE_LEVELS, Terms.NONE, new Revision(1));
         return BlockLease.first(new BlockId("b" + block), holder,
                 new Machine(new MachineId("m" + block), new Endpoint("10.0.0.1", 1), "t", "z" + block % 2, false));
     }
--- a/src/test/java/org/quincecross/leader/FleetTest.java
+++ b/src/test/java/org/quincecross/leader/FleetTest.java
@@ -38,6 +38,7 @@
 import org.quincecross.wire.Json;
 import org.quincecross.wire.Settings;
 import org.quincecross.rollout.Build;
+import org.quincecross.rollout.Terms;
 
 /** What the fleet returns and what it leaves alone when machines fall silent. */
 class FleetTest {
@@ -90,7 +91,7 @@
                 () -> OperatorSettings.DEFAULTS);
         MachineType type = new MachineType("t", SIZE, 50, 1, 1, 0.3, Span.ofSeconds(10), List.of("a", "b"));
         LedgerTool.put(ledger, Keys.type("t"), CloudCodec.writeCatalog(List.of(type)), 1);
-        MemberRecord holder = new MemberRecord(new MemberId("n"), new Incarnation(1), "a", Build.BEFORE_LEVELS, new Revision(1));
+        MemberRecord holder = new MemberRecord(new MemberId("n"), new Incarnation(1), "a", Build.BEFORE_LEVELS, Terms.NONE, new Revision(1));
         for (String zone : List.of("a", "b")) {
             BlockLease block = null;
             for (int i = 0; i < PER_ZONE; i++) {
--- a/src/test/java/org/quincecross/leader/LeasesTest.java
+++ b/src/test/java/org/quincecross/leader/LeasesTest.java
@@ -31,6 +31,7 @@
 import org.quincecross.wire.Settings;
 import org.quincecross.wire.StateCodec.Change;
 import org.quincecross.rollout.Build;
+import org.quincecross.rollout.Terms;
 
 /** A start that was never answered and never showed is refused only under a higher token (incident unanswered-start). */
 class LeasesTest {
@@ -55,7 +56,7 @@
         leases = new Leases(clock, ledger, settings, fleet, foresight, new Books(ledger), new FreshViews(clock, ledger, views),
                 new Allocations(ledger, () -> false));
         LedgerTool.put(ledger, Keys.member(HOLDER), Json.object("member", "n", "life", 1, "zone", "a"), 1);
-        MemberRecord member = new MemberRecord(HOLDER, new Incarnation(1), "a", Build.BEFORE_LEVELS, new Revision(1));
+        MemberRecord member = new MemberRecord(HOLDER, new Incarnation(1), "a", Build.BEFORE_LEVELS, Terms.NONE, new Revision(1));
         Machine first = new Machine(new MachineId("m-0"), HERE, "t", "a", false);
         Machine second = new Machine(new MachineId("m-1"), HERE, "t", "a", false);
         LedgerTool.put(ledger, Keys.block(BLOCK), BlockLease.first(BLOCK, member, first).with(second).write(), 2);
--- a/src/test/java/org/quincecross/state/RecordsTest.java
+++ b/src/test/java/org/quincecross/state/RecordsTest.java
@@ -28,6 +28,7 @@
 import org.quincecross.model.Span;
 import org.quincecross.model.TaskSet;
 import org.quincecross.rollout.Build;
+import org.quincecross.rollout.Terms;
 import org.quincecross.wire.BadMessage;
 import org.quincecross.wire.Json;
 
@@ -79,7 +80,7 @@
         newer.forEach((name, value) -> extra.put(name, Json.object("n", (long) value, "list", List.of((long) value, "x"))));
 
         Machine machine = new Machine(new MachineId("m-1"), new Endpoint("10.1.0.1", 9000), "t", "z", false);
-        MemberRecord member = new MemberRecord(new MemberId("n0"), new Incarnation(7), "z", Build.BEFORE_LEVELS, new Revision(3));
+        MemberRecord member = new MemberRecord(new MemberId("n0"), new Incarnation(7), "z", Build.BEFORE_LEVELS, Terms.NONE, new Revision(3));
         Map<String, Object> block = BlockLease.first(new BlockId("b"), member, machine).write();
         block.putAll(extra);
         BlockLease lease = BlockLease.read(new BlockId("b"), throughJson(block), new Revision(9));
