--- a/src/main/java/org/quincecross/emulator/ControllerProcess.java
+++ b/src/main/java/org/quincecross/emulator/ControllerProcess.java
@@ -25,7 +25,7 @@
         }
     }
 
-    private final List<String> command;
+    private List<String> command;
     private final Path directory;
     private final Path log;
     private State state = State.DOWN;
@@ -65,6 +65,13 @@
         enter(State.RUNS);
     }
 
+    /** Ends it as a power cut does, and starts another program in its place. */
+    void replaceBy(List<String> other) throws IOException {
+        kill();
+        command = List.copyOf(other);
+        start();
+    }
+
     /** Ends it as a power cut does. */
     void kill() {
         if (state() != State.DOWN) {
@@ -133,6 +140,17 @@
         return words;
     }
 
+    /** The same command with another file of features in place of the one that it has, if any. */
+    static List<String> withFeatures(List<String> command, Path features) {
+        List<String> words = new ArrayList<>(command);
+        int with = words.indexOf("--with");
+        if (with >= 0) {
+            words.subList(with, with + 2).clear();
+        }
+        words.addAll(words.indexOf("--config"), List.of("--with", features.toString()));
+        return words;
+    }
+
     /** The same with plain options, for a jar that has no deploy file beside it. */
     static String plainRun(File jar) {
         return "java -Xms24m -Xmx80m -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -jar " + jar.getAbsolutePath() + " --config";
--- a/src/main/java/org/quincecross/emulator/Drill.java
+++ b/src/main/java/org/quincecross/emulator/Drill.java
@@ -24,7 +24,12 @@
         /** The state service refuses everybody for a while. */
         STATE,
         /** Half of the machines are gone without notice. */
-        WORKERS
+        WORKERS,
+        /**
+         * The controllers are replaced one after the other, under load, by ones that can do the next level of the stored state; the first is
+         * put back once before. Over when the level has risen.
+         */
+        ROLL
     }
 
     /** Where the drill stands. */
@@ -32,6 +37,8 @@
 
     private static final double LOOK_S = 0.1;
     private static final double STATE_OUT_S = 12;
+    private static final double ROLL_EVERY_S = 5;
+    private static final double SWITCHED_WITHIN_S = 60;
     private static final double LONGER_THAN_LEASE = 1.5;
     private static final double PREPARED_WITHIN_S = 90;
     private static final double RECOVERED_WITHIN_S = 150;
@@ -39,14 +46,20 @@
     private final Kind kind;
     private final Surroundings around;
     private final List<ControllerProcess> controllers;
+    /** The commands of the controllers before and after a roll; empty where there is none. */
+    private final List<List<String>> before;
+    private final List<List<String>> after;
     private final Map<String, Object> result;
     private Phase phase = Phase.WAITS_FOR_REPLICAS;
     private double since;
     private double failedAt;
     private double notBefore;
     private int acceptedBefore;
+    private double missingS;
 
-    Drill(Kind kind, Surroundings around, List<ControllerProcess> controllers) {
+    Drill(Kind kind, Surroundings around, List<ControllerProcess> controllers, List<List<String>> before, List<List<String>> after) {
+        this.before = before;
+        this.after = after;
         this.kind = kind;
         this.around = around;
         this.controllers = controllers;
@@ -96,7 +109,11 @@
                     enter(Phase.FAILED);
                 }
             }
-            case TROUBLE -> { }
+            case TROUBLE -> {
+                if (kind == Kind.ROLL) {
+                    lookAtRoll(now);
+                }
+            }
             case RECOVERY -> {
                 measure(now);
                 if (result.containsKey("all_replicas_s") && result.containsKey("all_workers_s")) {
@@ -144,6 +161,13 @@
                     result.put("machines_lost", (machines.size() + 1) / 2);
                     enter(Phase.RECOVERY);
                 }
+                case ROLL -> {
+                    replace(0, 0, after);
+                    replace(1, 0, before);
+                    for (int node = 0; node < controllers.size(); node++) {
+                        replace(2 + node, node, after);
+                    }
+                }
                 default -> throw new IllegalStateException(kind.toString());
             }
         } catch (IOException e) {
@@ -151,6 +175,30 @@
         }
     }
 
+    private void replace(int step, int node, List<List<String>> by) {
+        around.clock().after(step * ROLL_EVERY_S, () -> {
+            try {
+                controllers.get(node).replaceBy(by.get(node));
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        });
+    }
+
+    private void lookAtRoll(double now) {
+        missingS += replicasMissing() > 0 ? LOOK_S : 0;
+        result.put("replicas_missing_s", TrySite.round(missingS));
+        boolean risen = around.state().value("q/level") instanceof Map<?, ?> level && level.get("level") instanceof Number number && number.intValue() > 1;
+        if (risen) {
+            result.put("level_risen_s", TrySite.round(now - failedAt));
+            result.put("longest_answer_s", TrySite.round(around.users().longest().values().stream().mapToDouble(each -> each).max().orElse(0)));
+            enter(Phase.RECOVERY);
+        } else if (now - failedAt > (controllers.size() + 2) * ROLL_EVERY_S + SWITCHED_WITHIN_S) {
+            result.put("why", "the level has not risen");
+            enter(Phase.FAILED);
+        }
+    }
+
     /** Something that ends a trouble. */
     private interface End {
         void run() throws IOException;
--- a/src/main/java/org/quincecross/emulator/TrySite.java
+++ b/src/main/java/org/quincecross/emulator/TrySite.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -21,7 +22,9 @@
 import org.quincecross.model.JobId;
 import org.quincecross.model.Shape;
 import org.quincecross.net.Loop;
+import org.quincecross.rollout.Level;
 import org.quincecross.wire.BadMessage;
+import org.quincecross.wire.Fields;
 import org.quincecross.wire.Json;
 import org.quincecross.wire.SettingsWriter;
 
@@ -53,12 +56,13 @@
      * @param front where users and scripts reach the site; its host is a loopback address
      * @param basePort the first of the ports that everything else takes
      * @param drill what is to fail, or null
+     * @param from the jar of another build that a roll begins with, or null for this program without the next level
      * @param run the deployed command, or null for a plain one
      * @param home the directory in which the command is run
      * @param json whether the summary is written as JSON
      * @param live whether progress is shown in one line that changes
      */
-    public record Plan(int machines, String jobs, double forS, Endpoint front, int basePort, Drill.Kind drill, String run, File jar,
+    public record Plan(int machines, String jobs, double forS, Endpoint front, int basePort, Drill.Kind drill, File from, String run, File jar,
             Path home, boolean json, boolean live) {
     }
 
@@ -111,14 +115,38 @@
             deleteDirectory();
             throw new IOException(e.getMessage(), e);
         }
+        List<List<String>> before = new ArrayList<>();
+        List<List<String>> after = new ArrayList<>();
         for (int node = 0; node < site.nodes(); node++) {
             Path settings = directory.resolve(Site.nodeName(node) + ".json");
             Files.write(settings, SettingsWriter.write(site.settings(node, nodes, peers, cloud, states.get(node))));
             String run = plan.run() == null ? ControllerProcess.plainRun(plan.jar()) : plan.run();
-            controllers.add(new ControllerProcess(ControllerProcess.command(run, settings), plan.home(),
-                    directory.resolve(Site.nodeName(node) + ".log")));
+            List<String> command = ControllerProcess.command(run, settings);
+            if (plan.drill() == Drill.Kind.ROLL) {
+                after.add(ControllerProcess.withFeatures(command, features(command, "after", Level.NEWEST.number())));
+                before.add(plan.from() != null ? ControllerProcess.command(ControllerProcess.plainRun(plan.from()), settings)
+                        : ControllerProcess.withFeatures(command, features(command, "before", Level.NEWEST.number() - 1)));
+                command = before.get(node);
+            }
+            controllers.add(new ControllerProcess(command, plan.home(), directory.resolve(Site.nodeName(node) + ".log")));
+        }
+        drill = plan.drill() == null ? null : new Drill(plan.drill(), around, controllers, before, after);
+    }
+
+    /** A file with the features that a command has, and with a build that can do levels up to {@code most}. */
+    private Path features(List<String> command, String build, int most) throws IOException {
+        Map<String, Object> features = new LinkedHashMap<>();
+        int with = command.indexOf("--with");
+        try {
+            if (with >= 0) {
+                Fields known = Json.parseFields(Files.readAllBytes(plan.home().resolve(command.get(with + 1))));
+                known.names().forEach(name -> features.put(name, known.raw(name)));
+            }
+        } catch (BadMessage e) {
+            throw new IOException(command.get(with + 1) + ": " + e.getMessage(), e);
         }
-        drill = plan.drill() == null ? null : new Drill(plan.drill(), around, controllers);
+        features.put("rollout", Json.object("build", build, "most_level", most));
+        return Files.write(directory.resolve("features-" + build + ".json"), Json.write(features));
     }
 
     private List<Endpoint> ports(int first) {
--- a/src/main/java/org/quincecross/program/TryCommand.java
+++ b/src/main/java/org/quincecross/program/TryCommand.java
@@ -57,9 +57,12 @@
             description = "ends after this time at the latest, such as 90s or 5m (default: ${DEFAULT-VALUE})")
     private double forS;
 
-    @Option(names = "--drill", paramLabel = "WHAT", description = "has something fail: restart, zone, state or workers")
+    @Option(names = "--drill", paramLabel = "WHAT", description = "has something fail: restart, zone, state, workers or roll")
     private String drill;
 
+    @Option(names = "--from", paramLabel = "JAR", description = "with --drill roll: the build that the controllers have before")
+    private File from;
+
     @Option(names = "--listen", paramLabel = "HOST:PORT", defaultValue = "127.0.0.1:8080",
             description = "where users reach the site, a loopback address (default: ${DEFAULT-VALUE})")
     private String listen;
@@ -86,6 +89,12 @@
         if (basePort < 1024 || basePort + 200 + 2 * machines > 65_535) {
             throw wrong("--base-port: " + basePort + " leaves no room for the ports of " + machines + " machines");
         }
+        if (from != null && kind() != Drill.Kind.ROLL) {
+            throw wrong("--from goes with --drill roll");
+        }
+        if (from != null && !from.isFile()) {
+            throw wrong("--from: no file " + from);
+        }
         if (!output.equals("text") && !output.equals("json")) {
             throw wrong("--output: '" + output + "' is neither text nor json");
         }
@@ -94,7 +103,7 @@
             Path home = jar.getAbsoluteFile().toPath().getParent().getParent();
             String run = jar.isDirectory() ? classesRun() : deployedRun(home.resolve("deploy/service.toml"));
             TrySite.Plan plan = new TrySite.Plan(machines, jobs == null ? null : Files.readString(jobs, StandardCharsets.UTF_8), forS, front,
-                    basePort, kind(), run, jar, home, output.equals("json"), output.equals("text") && System.console() != null);
+                    basePort, kind(), from, run, jar, home, output.equals("json"), output.equals("text") && System.console() != null);
             return new TrySite(plan, System.out).run();
         } catch (IOException e) {
             spec.commandLine().getErr().println("quincecross: " + (e instanceof java.nio.file.NoSuchFileException ? "no file " : "") + e.getMessage());
@@ -115,7 +124,7 @@
                 return kind;
             }
         }
-        throw wrong("--drill: '" + drill + "' is not one of restart, zone, state, workers");
+        throw wrong("--drill: '" + drill + "' is not one of restart, zone, state, workers, roll");
     }
 
     /** The command for a program that was not started from its jar, which may not be built yet. */
--- a/src/test/java/org/quincecross/emulator/TrySiteTest.java
+++ b/src/test/java/org/quincecross/emulator/TrySiteTest.java
@@ -53,7 +53,7 @@
             """;
 
     private static TrySite.Plan plan(String jobs, int basePort, Drill.Kind drill) {
-        return new TrySite.Plan(9, jobs, 60, new Endpoint("127.0.0.1", basePort), basePort, drill, RUN, new File("none.jar"),
+        return new TrySite.Plan(9, jobs, 60, new Endpoint("127.0.0.1", basePort), basePort, drill, null, RUN, new File("none.jar"),
                 Path.of("").toAbsolutePath(), true, false);
     }
 
@@ -74,6 +74,22 @@
         }
     }
 
+    /** Real controllers are replaced one after the other, the first one back once; the level rises, every job ends, no rule is broken. */
+    @Test
+    void aRollOfRealControllersOverALevel() throws IOException, BadMessage {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        TrySite.Plan plan = new TrySite.Plan(9, JOBS, 120, new Endpoint("127.0.0.1", 26_400), 26_400, Drill.Kind.ROLL, null, RUN,
+                new File("none.jar"), Path.of("").toAbsolutePath(), true, false);
+        int status = new TrySite(plan, new PrintStream(out, true)).run();
+        String summary = out.toString(StandardCharsets.UTF_8);
+        assertEquals(0, status, summary);
+        Fields all = Json.parseFields(summary.strip().getBytes(StandardCharsets.UTF_8));
+        assertEquals(List.of(), all.list("rules_broken"));
+        assertEquals("over", all.fields("drill").text("phase"));
+        assertTrue(all.fields("drill").amount("level_risen_s") > 20, summary);
+        assertEquals(List.of(4L, 2L, 2L), all.objects("controllers").stream().map(controller -> controller.raw("starts")).toList());
+    }
+
     /** The program that made the site is killed, with transactions on their way: its controllers end, and none is left. */
     @Test
     void nothingIsLeftOfASiteWhoseMakerIsKilled() throws IOException, InterruptedException {
