Cancellations: the delay before one is told counts from when its record is seen, not from the time in it

A cancellation that became durable long after it was asked for (an unanswered transaction carried out late, or a controller that stood still before it was sent) was told at once: a holder that had just lost the state service answered its machines 8 s longer than the user had.

The stand-in for the state service can carry out chosen transactions or a share of them late or lose their answers, and answer slowly.

--- a/src/main/java/org/quincecross/api/Cancellations.java
+++ b/src/main/java/org/quincecross/api/Cancellations.java
@@ -3,13 +3,13 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Consumer;
-import java.util.function.LongSupplier;
 import org.quincecross.block.BlockHolder;
 import org.quincecross.block.Holdings;
 import org.quincecross.model.BlockId;
 import org.quincecross.model.JobId;
 import org.quincecross.model.JobPhase;
 import org.quincecross.model.MachineId;
+import org.quincecross.model.Revision;
 import org.quincecross.model.Span;
 import org.quincecross.model.SteadyTime;
 import org.quincecross.net.Timers;
@@ -32,38 +32,35 @@
     private final Ledger ledger;
     private final Holdings holdings;
     private final PeerViews views;
-    private final LongSupplier clockMs;
     private final Span delay;
-    private final Span clockBound;
     private final Map<JobId, SteadyTime> untold = new HashMap<>();
+    /** Cancellations up to here have been taken note of. */
+    private Revision noted = Revision.NONE;
 
-    /**
-     * @param delay how long after it became durable a cancellation may be told in any case
-     * @param clockBound how far the time of day may be off
-     */
-    Cancellations(Timers timers, Ledger ledger, Holdings holdings, PeerViews views, LongSupplier clockMs, Span delay,
-            Span clockBound) {
+    /** @param delay how long after it became durable a cancellation may be told in any case */
+    Cancellations(Timers timers, Ledger ledger, Holdings holdings, PeerViews views, Span delay) {
         this.timers = timers;
         this.ledger = ledger;
         this.holdings = holdings;
         this.views = views;
-        this.clockMs = clockMs;
         this.delay = delay;
-        this.clockBound = clockBound;
     }
 
+    /**
+     * Takes note of new cancellations. A record says when it was decided on, and it may have become durable long after that: a
+     * transaction without an answer is carried out late. So the delay runs from when the record was first seen here, and
+     * what was there when the records were first read counts as new while any block has tasks of it
+     * (docs/incidents/cancelled-late.md).
+     */
     void ledgerChanged(Ledger.Changes changes) {
         for (JobId id : changes.reloaded() ? ledger.jobs() : changes.jobs()) {
             JobRecord record = ledger.job(id);
-            if (record != null && record.phase() == JobPhase.CANCELLED && isRecent(record)) {
+            if (record != null && record.phase() == JobPhase.CANCELLED && record.version().isAfter(noted)
+                    && !ledger.blocksOf(id).isEmpty()) {
                 untold.putIfAbsent(id, timers.now());
             }
         }
-    }
-
-    private boolean isRecent(JobRecord record) {
-        double age = (clockMs.getAsLong() - record.cancelledMs()) / 1000.0;
-        return age < delay.seconds() + 2 * clockBound.seconds();
+        noted = ledger.revision();
     }
 
     /** Says, soon, whether a user may be told what the record says. */
--- a/src/main/java/org/quincecross/api/Controller.java
+++ b/src/main/java/org/quincecross/api/Controller.java
@@ -121,7 +121,7 @@
                 () -> AdminApi.settings(ledger));
         leader = new Leader(timers, client, ledger, follower, membership, settings, fleet, foresight, views, clockMs, this::isWaking,
                 features.overload() == null ? null : new Overload(features.overload()), agreed.withheld());
-        cancellations = new Cancellations(timers, ledger, holdings, views, clockMs, CANCEL_TOLD_AFTER, settings.clockBound());
+        cancellations = new Cancellations(timers, ledger, holdings, views, CANCEL_TOLD_AFTER);
         users = new UserApi(timers, ledger, follower, client, settings, this::running, clockMs, cancellations,
                 membership::life, memoryIsShort, aloneness::state);
         agents = new AgentApi(timers, ledger, holdings, leader, views, http, settings.member(), aloneness);
--- /dev/null
+++ b/src/main/java/org/quincecross/emulator/LateWrites.java
@@ -0,0 +1,24 @@
+package org.quincecross.emulator;
+
+import java.util.Random;
+import java.util.function.BooleanSupplier;
+
+/** Which transactions the state service does not answer, and how much later it carries them out. */
+interface LateWrites {
+    /** Carried out and answered as it comes. */
+    double PROMPT = -1;
+    LateWrites NONE = transaction -> PROMPT;
+
+    /**
+     * Says what becomes of a transaction.
+     *
+     * @param transaction its body
+     * @return {@link #PROMPT}, or after how many seconds it is carried out without an answer; 0: at once, and the answer is lost
+     */
+    double afterS(String transaction);
+
+    /** A share of all, for as long as it is so, carried out from {@code leastS} to {@code mostS} seconds later. */
+    static LateWrites share(double share, double leastS, double mostS, BooleanSupplier isSo, Random draws) {
+        return transaction -> isSo.getAsBoolean() && draws.nextDouble() < share ? leastS + draws.nextDouble() * (mostS - leastS) : PROMPT;
+    }
+}
--- a/src/main/java/org/quincecross/emulator/StateService.java
+++ b/src/main/java/org/quincecross/emulator/StateService.java
@@ -70,6 +70,12 @@
     private long throttled;
     private boolean out;
     private int lateOneIn;
+    private LateWrites lateWrites = LateWrites.NONE;
+    private final List<Integer> lateOutcomes = new ArrayList<>();
+    private double slowLeastS;
+    private double slowMostS;
+    private double slowUntil;
+    private Random slowDraws;
     private int keptChanges = KEPT_CHANGES;
 
     StateService(Clock clock, Random random, Settings.StateLimits limits) {
@@ -89,6 +95,32 @@
         lateOneIn = oneIn;
     }
 
+    /** Has some transactions carried out late and not answered. */
+    void late(LateWrites late) {
+        lateWrites = late;
+    }
+
+    /** The statuses with which unanswered transactions were carried out, in that order. */
+    List<Integer> lateOutcomes() {
+        return lateOutcomes;
+    }
+
+    /** For a while each answer takes so many seconds; the request is carried out at some time in between. */
+    void slow(double leastS, double mostS, double seconds, Random draws) {
+        slowLeastS = leastS;
+        slowMostS = mostS;
+        slowUntil = clock.seconds() + seconds;
+        slowDraws = draws;
+    }
+
+    private boolean isSlow() {
+        return clock.seconds() < slowUntil;
+    }
+
+    private double slowness() {
+        return slowLeastS + slowDraws.nextDouble() * (slowMostS - slowLeastS);
+    }
+
     /** Watches that lie further behind than so many changes are answered with 410. */
     void keepChanges(int most) {
         keptChanges = most;
@@ -126,6 +158,23 @@
 
     @Override
     public void request(String from, HttpRequest request, Consumer<HttpResponse> reply) {
+        if (!isSlow()) {
+            // A watch that is opened before may be answered while it is slow.
+            serve(from, request, response -> {
+                if (isSlow()) {
+                    clock.after(slowness(), () -> reply.accept(response));
+                } else {
+                    reply.accept(response);
+                }
+            });
+            return;
+        }
+        double there = slowness();
+        double before = there * slowDraws.nextDouble();
+        clock.after(before, () -> serve(from, request, response -> clock.after(there - before, () -> reply.accept(response))));
+    }
+
+    private void serve(String from, HttpRequest request, Consumer<HttpResponse> reply) {
         if (out || refused.contains(from)) {
             reply.accept(HttpResponse.of(503));
             return;
@@ -222,18 +271,24 @@
             throttle(reply);
             return;
         }
-        if (lateOneIn > 0 && random.nextInt(lateOneIn) == 0) {
-            // Applied late, when the sender has long given up.
-            clock.after(3 + random.nextDouble() * 20, () -> {
-                try {
-                    expire();
-                    txn(in, changes);
-                } catch (BadMessage e) {
-                    throw new IllegalStateException(e);
-                }
-            });
-        } else {
+        double after = changes.isEmpty() ? LateWrites.PROMPT : lateWrites.afterS(new String(request.body(), StandardCharsets.UTF_8));
+        if (after == LateWrites.PROMPT && lateOneIn > 0 && random.nextInt(lateOneIn) == 0) {
+            after = 3 + random.nextDouble() * 20;
+        }
+        if (after == LateWrites.PROMPT) {
             reply.accept(txn(in, changes));
+        } else {
+            clock.after(after, () -> carryOut(in, changes));
+        }
+    }
+
+    /** Carried out when the sender may have given up long ago. */
+    private void carryOut(Fields in, List<Fields> changes) {
+        try {
+            expire();
+            lateOutcomes.add(txn(in, changes).status());
+        } catch (BadMessage e) {
+            throw new IllegalStateException(e);
         }
     }
 
