--- a/src/test/java/org/quincecross/emulator/SeedsTest.java
+++ b/src/test/java/org/quincecross/emulator/SeedsTest.java
@@ -37,6 +37,12 @@
                 .copies(share).machines(1.0 / 6, machines).controllers(controllers)));
     }
 
+    /** The same with a quarter of all transactions carried out late, jobs that come together, and cancellations at any time. */
+    @Test
+    void everyDayOfLateWritesKeepsTheRulesAndNothingHangs() {
+        play(seed -> (seed % 2 == 0 ? new Day(seed) : Day.ofRolls(seed)).with(LateWriteDays::on));
+    }
+
     private static void play(LongFunction<Day> day) {
         String[] range = System.getProperty("seeds", "20000-24999").split("-");
         Map<Long, Object> wrong = new ConcurrentSkipListMap<>();
