Cancellations are told by when their record was first seen; T and the delay from one type, for any settings

A cancellation's age was taken from the time of day in its record, which is when the change was formed: one that became durable late was told at once, noted or not. And T was at least a second where lease_s and cancel_s leave less, which broke the bound. Now the wait runs from when the record was first seen, anew after the records were read anew for what they still allocate; and UnconfirmedBound derives T, the delay and whether noting suffices, with the proof. Settings without a bound end the program with a line that names lease_s.

--- a/src/main/java/org/quincecross/api/Cancellations.java
+++ b/src/main/java/org/quincecross/api/Cancellations.java
@@ -1,28 +1,32 @@
 package org.quincecross.api;
 
-import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.function.Consumer;
-import java.util.function.LongSupplier;
 import org.quincecross.block.BlockHolder;
 import org.quincecross.block.Holdings;
 import org.quincecross.model.BlockId;
 import org.quincecross.model.JobId;
 import org.quincecross.model.JobPhase;
 import org.quincecross.model.MachineId;
+import org.quincecross.model.Revision;
 import org.quincecross.model.Span;
 import org.quincecross.model.SteadyTime;
 import org.quincecross.net.Timers;
 import org.quincecross.peer.PeerReport;
 import org.quincecross.peer.PeerViews;
+import org.quincecross.silence.UnconfirmedBound;
 import org.quincecross.state.BlockLease;
 import org.quincecross.state.JobRecord;
 import org.quincecross.state.Ledger;
 
 /**
- * Decides when users may be told that a job is cancelled. A holder that is cut off goes on for longer than a
- * cancellation has, less a lease; in exchange nobody is told of a cancellation before every holder that has the job's
- * tasks has seen it, with all of its machines fenced, or the difference has passed since it became durable.
+ * Decides when users may be told that a job is cancelled: by the rule of {@link UnconfirmedBound}, which has the proof.
+ *
+ * <p>The wait runs from when the record was first seen here, never by the time of day in it: that is from when the change was
+ * formed, and one that waited, or was not answered and is carried out late, may be durable only now
+ * (docs/incidents/told-by-an-old-time.md). What was cancelled before the records were read waits as well, while they allocate any of it.
  */
 final class Cancellations {
     private static final Span LOOK_AGAIN = Span.ofMillis(100);
@@ -32,38 +36,60 @@
     private final Ledger ledger;
     private final Holdings holdings;
     private final PeerViews views;
-    private final LongSupplier clockMs;
-    private final Span delay;
-    private final Span clockBound;
-    private final Map<JobId, SteadyTime> untold = new HashMap<>();
+    private final UnconfirmedBound bound;
+    /** When cancellations were first seen that may not be told without a look, oldest first; those over the delay go. */
+    private final Map<JobId, SteadyTime> untold = new LinkedHashMap<>();
+    private Revision known = Revision.NONE;
+    private boolean sweepPlanned;
 
-    /**
-     * @param delay how long after it became durable a cancellation may be told in any case
-     * @param clockBound how far the time of day may be off
-     */
-    Cancellations(Timers timers, Ledger ledger, Holdings holdings, PeerViews views, LongSupplier clockMs, Span delay,
-            Span clockBound) {
+    Cancellations(Timers timers, Ledger ledger, Holdings holdings, PeerViews views, UnconfirmedBound bound) {
         this.timers = timers;
         this.ledger = ledger;
         this.holdings = holdings;
         this.views = views;
-        this.clockMs = clockMs;
-        this.delay = delay;
-        this.clockBound = clockBound;
+        this.bound = bound;
     }
 
     void ledgerChanged(Ledger.Changes changes) {
-        for (JobId id : changes.reloaded() ? ledger.jobs() : changes.jobs()) {
-            JobRecord record = ledger.job(id);
-            if (record != null && record.phase() == JobPhase.CANCELLED && isRecent(record)) {
-                untold.putIfAbsent(id, timers.now());
+        if (changes.reloaded()) {
+            for (BlockId block : ledger.allocatedBlocks()) {
+                ledger.allocation(block).tasks().keySet().forEach(this::seen);
             }
+        } else {
+            for (JobId id : changes.jobs()) {
+                JobRecord record = ledger.job(id);
+                if (record != null && record.version().isAfter(known)) {
+                    seen(id); // else something else of it has changed
+                }
+            }
+        }
+        known = ledger.revision();
+    }
+
+    private void seen(JobId id) {
+        JobRecord record = ledger.job(id);
+        if (record != null && record.phase() == JobPhase.CANCELLED) {
+            untold.putIfAbsent(id, timers.now());
+            planSweep();
         }
     }
 
-    private boolean isRecent(JobRecord record) {
-        double age = (clockMs.getAsLong() - record.cancelledMs()) / 1000.0;
-        return age < delay.seconds() + 2 * clockBound.seconds();
+    private void planSweep() {
+        if (!sweepPlanned && !untold.isEmpty()) {
+            sweepPlanned = true;
+            timers.after(bound.toldAfter(), () -> {
+                sweepPlanned = false;
+                for (Iterator<SteadyTime> oldest = untold.values().iterator(); oldest.hasNext() && isOver(oldest.next()); ) {
+                    oldest.remove();
+                }
+                planSweep();
+            });
+        }
+    }
+
+    /** How many cancellations are remembered. */
+    int remembered() {
+        return untold.size();
     }
 
     /** Says, soon, whether a user may be told what the record says. */
@@ -86,17 +112,21 @@
         if (since == null) {
             return true;
         }
-        if (timers.now().since(since).isMoreThan(delay) || allHoldersHaveSeen(record)) {
+        if (isOver(since) || ledger.blocksOf(record.id()).isEmpty() || bound.notingSuffices() && allHoldersHaveSeen(record)) {
             untold.remove(record.id());
             return true;
         }
         return false;
     }
 
+    private boolean isOver(SteadyTime since) {
+        return timers.now().since(since).isMoreThan(bound.toldAfter());
+    }
+
     private boolean allHoldersHaveSeen(JobRecord record) {
-        for (BlockId id : ledger.allocatedBlocks()) {
+        for (BlockId id : ledger.blocksOf(record.id())) {
             BlockLease lease = ledger.block(id);
-            if (lease != null && ledger.allocation(id).tasks().containsKey(record.id()) && !hasSeen(lease, record)) {
+            if (lease == null || !hasSeen(lease, record)) {
                 return false;
             }
         }
--- a/src/main/java/org/quincecross/api/Controller.java
+++ b/src/main/java/org/quincecross/api/Controller.java
@@ -39,6 +39,7 @@
 import org.quincecross.silence.Aloneness;
 import org.quincecross.silence.LinkWatch;
 import org.quincecross.silence.Stillness;
+import org.quincecross.silence.UnconfirmedBound;
 import org.quincecross.state.BlockLease;
 import org.quincecross.state.Follower;
 import org.quincecross.state.Foresight;
@@ -60,10 +61,6 @@
     private static final Span NEWS_AFTER = Span.ofMillis(100);
     /** What changes with time alone is looked at in every second of the regular reports. */
     private static final int LOOK_AT_ALL_EVERY = 2;
-    /** Of the time that a cancellation has: for clocks, messages, and workers that notice late. */
-    private static final Span CANCEL_MARGIN = Span.ofSeconds(1.5);
-    /** Until a cancellation that not all holders have seen may be told; they may go on for so much longer. */
-    private static final Span CANCEL_TOLD_AFTER = Span.ofSeconds(8);
 
     private final Timers timers;
     private final HttpCaller http;
@@ -89,7 +86,7 @@
     private final Map<MemberId, LinkWatch> links = new HashMap<>();
     private final Stillness stillness;
     private final Aloneness aloneness;
-    private final Span longestUnconfirmed;
+    private final UnconfirmedBound unconfirmedBound;
     private long reports;
     private long regularReports;
     private boolean newsPlanned;
@@ -113,15 +110,16 @@
         aloneness = new Aloneness(settings.siblings().stream().allMatch(other -> settings.member().compareTo(other.member()) < 0), clock.now());
         membership = new Membership(timers, client, settings.member(), settings.zone(), features.build(),
                 features.agreed() == null ? settings.terms() : settings.terms().with("agreed parts", AgreedParts.mark(features.agreed())));
-        longestUnconfirmed = longestUnconfirmed(settings.workers());
-        agreed = new AgreedParts(timers, client, follower, ledger, membership, views, settings, features.agreed(), clockMs, longestUnconfirmed);
+        unconfirmedBound = settings.workers().unconfirmedBound();
+        agreed = new AgreedParts(timers, client, follower, ledger, membership, views, settings, features.agreed(), clockMs,
+                unconfirmedBound.unconfirmed());
         foresight = new Foresight(ledger, agreed.withheld());
         holdings = new Holdings(this, settings.member(), membership::life);
         fleet = new Fleet(timers, http, ledger, settings, foresight, membership::life,
                 () -> AdminApi.settings(ledger));
         leader = new Leader(timers, client, ledger, follower, membership, settings, fleet, foresight, views, clockMs, this::isWaking,
                 features.overload() == null ? null : new Overload(features.overload()), agreed.withheld());
-        cancellations = new Cancellations(timers, ledger, holdings, views, clockMs, CANCEL_TOLD_AFTER, settings.clockBound());
+        cancellations = new Cancellations(timers, ledger, holdings, views, unconfirmedBound);
         users = new UserApi(timers, ledger, follower, client, settings, this::running, clockMs, cancellations,
                 membership::life, memoryIsShort, aloneness::state);
         agents = new AgentApi(timers, ledger, holdings, leader, views, http, settings.member(), aloneness);
@@ -130,17 +128,6 @@
         admin = new AdminApi(timers, ledger, follower, membership, client, holdings, leader, metrics, stalls, served, settings.member());
     }
 
-    /**
-     * How long a holder may answer its machines after it last heard from the state service. A cancellation that it
-     * has not heard of became durable at that time or later, and was told {@link #CANCEL_TOLD_AFTER} after that at the
-     * earliest; its machines go on for at most a lease after its last answer; and all must be over within the time that a
-     * cancellation has.
-     */
-    static Span longestUnconfirmed(Settings.Workers workers) {
-        double seconds = workers.cancel().seconds() + CANCEL_TOLD_AFTER.seconds() - workers.lease().seconds() * 1.002 - CANCEL_MARGIN.seconds();
-        return Span.ofSeconds(Math.max(1, seconds));
-    }
-
     /** What the parts that rest on agreed records are given; null where there are none. */
     public AgreedBase agreed() {
         return agreed.base();
@@ -406,12 +393,12 @@
     @Override
     public boolean isEntitled() {
         SteadyTime confirmed = confirmed();
-        return confirmed != null && !isWaking() && membership.unable().isEmpty() && !timers.now().since(confirmed).isMoreThan(longestUnconfirmed);
+        return confirmed != null && !isWaking() && membership.unable().isEmpty() && !timers.now().since(confirmed).isMoreThan(unconfirmedBound.unconfirmed());
     }
 
     @Override
     public Span longestUnconfirmed() {
-        return longestUnconfirmed;
+        return unconfirmedBound.unconfirmed();
     }
 
     @Override
--- a/src/main/java/org/quincecross/wire/Settings.java
+++ b/src/main/java/org/quincecross/wire/Settings.java
@@ -16,6 +16,7 @@
 import org.quincecross.model.Span;
 import org.quincecross.model.Team;
 import org.quincecross.rollout.Terms;
+import org.quincecross.silence.UnconfirmedBound;
 
 /**
  * The settings file that the platform hands to every controller.
@@ -42,6 +43,10 @@
 
     /** How workers behave. */
     public record Workers(Span report, Span lease, Span gangWait, Span gangPeer, Span cancel) {
+        /** How long a holder goes on without the state service, and when cancellations are told. */
+        public UnconfirmedBound unconfirmedBound() {
+            return UnconfirmedBound.of(lease, cancel);
+        }
     }
 
     /** What the state service allows all controllers together. */
@@ -166,8 +171,7 @@
                 new MemberId(in.text("member")), in.text("site"), endpoint(in, "listen"), endpoint(in, "peer_bind"),
                 List.copyOf(siblings), endpoint(external, "cloud"), endpoint(external, "state"),
                 List.copyOf(params.texts("zones")), teams, List.copyOf(objectives),
-                new Workers(span(workers, "report_s"), span(workers, "lease_s"), span(workers, "gang_wait_s"),
-                        span(workers, "gang_peer_s"), span(workers, "cancel_s")),
+                workers(workers),
                 new StateLimits(state.positive("rps"), state.positive("write_rps"),
                         (int) (state.positive("value_kb") * 1024), state.count("txn_ops", 1, 100_000)),
                 new CloudLimits(cloud.positive("rps"), Span.ofSeconds(cloud.amount("list_lag_s"))),
@@ -175,6 +179,14 @@
                 new Quota(quota.positive("cpu"), quota.positive("ram_mb"), quota.count("fd_limit", 16, 10_000_000)));
     }
 
+    private static Workers workers(Fields in) throws BadMessage {
+        Workers workers = new Workers(span(in, "report_s"), span(in, "lease_s"), span(in, "gang_wait_s"), span(in, "gang_peer_s"), span(in, "cancel_s"));
+        if (!UnconfirmedBound.isPossible(workers.lease(), workers.cancel())) {
+            throw new BadMessage("field lease_s is too long for what cancel_s says: tasks that nobody reaches go on for a lease");
+        }
+        return workers;
+    }
+
     private static double orUnlimited(double value) {
         return value == 0 ? Double.POSITIVE_INFINITY : value;
     }
--- a/src/test/java/org/quincecross/state/LedgerTool.java
+++ b/src/test/java/org/quincecross/state/LedgerTool.java
@@ -1,5 +1,6 @@
 package org.quincecross.state;
 
+import java.util.LinkedHashMap;
 import java.util.Map;
 import org.quincecross.model.Revision;
 import org.quincecross.wire.BadMessage;
@@ -22,4 +23,17 @@
     public static void advance(Ledger ledger, long revision) {
         ledger.advance(new Revision(revision));
     }
+
+    /** Reads all records anew; each was last changed with {@code revision}. */
+    public static void load(Ledger ledger, Map<String, Map<String, Object>> values, long revision) {
+        Map<String, Ledger.StateEntry> entries = new LinkedHashMap<>();
+        values.forEach((key, value) -> {
+            try {
+                entries.put(key, new Ledger.StateEntry(Json.parse(Json.write(value)), new Revision(revision)));
+            } catch (BadMessage e) {
+                throw new IllegalArgumentException(e);
+            }
+        });
+        ledger.load(entries, new Revision(revision));
+    }
 }
