A session's lease is bounded from when the session was first shown

A holder bounded a machine's lease by the last answer to a report. A lease runs also from when a session began, and of a new session a holder may learn by the answer to a direct command, which moved no bound: it could start tasks in that session and call them gone up to a lease too early, and start them elsewhere. Two ways there: a machine that joins and is first heard by the answer to a command, and a controller that stood still for longer than a lease.

--- a/src/main/java/org/quincecross/block/Session.java
+++ b/src/main/java/org/quincecross/block/Session.java
@@ -113,7 +113,12 @@
      * Takes a report that is newer than those before; {@code beat}: one that the worker sent by itself. It has one such
      * report under way at a time, so the answer to the one before has been executed or will be dropped.
      */
-    void take(WorkerReport next, boolean beat) {
+    void take(WorkerReport next, boolean beat, SteadyTime now) {
+        // A session has a lease of its own from when it began, which may have been a moment ago, whatever answer the one before had
+        // last. Guards against docs/incidents/session-without-an-answer.md.
+        if ((report == null || report.session() != next.session() || state == State.LOST) && leaseFrom.isBefore(now)) {
+            leaseFrom = now;
+        }
         // A worker that has begun anew may come to the session that a command of before was sent to: only a new token ends that.
         if (report != null && report.session() != next.session() && !hasBegunAnew()) {
             startsUnanswered.clear();
--- /dev/null
+++ b/src/test/java/org/quincecross/block/SessionsUnansweredTest.java
@@ -0,0 +1,88 @@
+package org.quincecross.block;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.quincecross.http.HttpResponse;
+import org.quincecross.model.Attempt;
+import org.quincecross.model.Endpoint;
+import org.quincecross.model.Machine;
+import org.quincecross.model.MachineId;
+import org.quincecross.model.Span;
+import org.quincecross.model.TaskId;
+import org.quincecross.model.TaskSet;
+import org.quincecross.net.HttpOutcome;
+import org.quincecross.state.Keys;
+import org.quincecross.wire.Json;
+
+/**
+ * A machine whose reports do not arrive while direct commands do, and whose session began after the last answer that it may have had:
+ * its lease runs from when that session began, not from that answer (incident session-without-an-answer).
+ */
+class SessionsUnansweredTest extends HolderHarness {
+    private static final Machine OTHER = new Machine(new MachineId("m-2"), new Endpoint("10.1.0.2", 9000), "t", "z", false);
+
+    /** The command that was sent last is answered by the machine's report. */
+    private void answered(Machine machine, int status, long session, long token, Map<TaskId, Attempt> running) {
+        List<Object> pieces = running.entrySet().stream().<Object>map(each -> Json.object("Piece", each.getKey().toString(), "Try",
+                each.getValue().number(), "Status", "running")).toList();
+        calls.remove(calls.size() - 1).accept(HttpOutcome.answered(HttpResponse.of(status, Json.write(Json.object("Host",
+                machine.id().text(), "Addr", machine.address().toString(), "Hull", "t", "Yard", "z", "Shift", session, "Tick",
+                ++order, "Baton", token, "Pieces", pieces)))));
+    }
+
+    private void pass(double seconds) {
+        for (double at = 0; at < seconds; at += 0.25) {
+            clock.advance(0.25);
+            holder.tick();
+        }
+    }
+
+    /** It joins, its first session ends soon after, and it is first heard by its answer to a command, in the second. */
+    @Test
+    void aMachineThatJoinsAndIsHeardByCommandsAlone() {
+        allocate(new TaskSet());
+        calls.clear();
+        clock.advance(2);
+        put(Keys.block(BLOCK), ledger.blocks().get(BLOCK).with(OTHER).write());
+        holder.renewed(ledger.blocks().get(BLOCK));
+        calls.remove(calls.size() - 1).accept(HttpOutcome.failed(false));
+        pass(2.75);
+        answered(OTHER, 200, 2, 0, Map.of()); // its status
+        pass(0.25);
+        long token = holder.lease().token().number();
+        answered(OTHER, 200, 2, token, Map.of()); // it has seen the token
+        TaskId task = TASK.job().task(1);
+        allocate(only(1));
+        Attempt attempt = attempt();
+        assertEquals(1, holder.machine(OTHER.id()).tasks(), "the other is silent by now");
+        answered(OTHER, 200, 2, token, Map.of(task, attempt));
+        pass(9.5);
+        assertEquals(1, holder.machine(OTHER.id()).tasks(), "its session began 3 s after it joined");
+        pass(1.5);
+        assertEquals(0, holder.machine(OTHER.id()).tasks(), "its lease is over");
+    }
+
+    /** A controller that stood still for longer than a lease: the machine is in its next session when it is given work. */
+    @Test
+    void aMachineThatIsGivenWorkByAControllerThatStoodStill() {
+        calls.remove(calls.size() - 1).accept(HttpOutcome.failed(false));
+        lastConfirmed = clock.nanos();
+        clock.advance(30);
+        holder.excuse(Span.ofSeconds(30));
+        holder.tick();
+        TaskId task = TASK.job().task(1);
+        allocate(only(1));
+        answered(MACHINE, 409, 2, holder.lease().token().number(), Map.of());
+        Attempt attempt = attempt();
+        answered(MACHINE, 200, 2, holder.lease().token().number(), Map.of(task, attempt));
+        lastConfirmed = Long.MAX_VALUE;
+        pass(2);
+        assertTrue(holder.runs(task), "it is there, for as long as the second session may last");
+        pass(9);
+        assertEquals(0, holder.machine(MACHINE.id()).tasks(), "its lease is over");
+    }
+}
