--- a/src/main/java/org/quincecross/api/Controller.java
+++ b/src/main/java/org/quincecross/api/Controller.java
@@ -21,6 +21,7 @@
 import org.quincecross.model.BlockId;
 import org.quincecross.model.Job;
 import org.quincecross.model.JobId;
+import org.quincecross.model.JobPhase;
 import org.quincecross.model.MachineId;
 import org.quincecross.model.MemberId;
 import org.quincecross.model.Revision;
@@ -42,6 +43,7 @@
 import org.quincecross.state.BlockLease;
 import org.quincecross.state.Follower;
 import org.quincecross.state.Foresight;
+import org.quincecross.state.JobRecord;
 import org.quincecross.state.Ledger;
 import org.quincecross.state.Membership;
 import org.quincecross.state.StateClient;
@@ -90,6 +92,7 @@
     private final Stillness stillness;
     private final Aloneness aloneness;
     private final Span longestUnconfirmed;
+    private final LongSupplier clockMs;
     private long reports;
     private long regularReports;
     private boolean newsPlanned;
@@ -108,6 +111,7 @@
         http = Watched.caller(caller, this::lookAtClock);
         this.peers = peers;
         this.settings = settings;
+        this.clockMs = clockMs;
         StateClient client = new StateClient(timers, http, settings.state(), settings.stateLimits());
         follower = new Follower(timers, client, ledger);
         aloneness = new Aloneness(settings.siblings().stream().allMatch(other -> settings.member().compareTo(other.member()) < 0), clock.now());
@@ -414,6 +418,17 @@
         return longestUnconfirmed;
     }
 
+    @Override
+    public boolean isLongCancelled(JobId id) {
+        JobRecord record = ledger.job(id);
+        if (record == null || record.phase() != JobPhase.CANCELLED) {
+            return false;
+        }
+        // It was made at this time or later, whatever the clocks here and there are off; and told no earlier.
+        Span atMost = Span.ofMillis(clockMs.getAsLong() - record.cancelledMs()).plus(settings.clockBound().times(2));
+        return atMost.plus(CANCEL_TOLD_AFTER).isMoreThan(longestUnconfirmed);
+    }
+
     @Override
     public boolean allHaveNoted(Revision revision) {
         for (Settings.Sibling sibling : settings.siblings()) {
--- a/src/main/java/org/quincecross/block/BlockHolder.java
+++ b/src/main/java/org/quincecross/block/BlockHolder.java
@@ -32,8 +32,6 @@
 import org.quincecross.state.Allocation;
 import org.quincecross.state.BlockLease;
 import org.quincecross.state.JobRecord;
-import org.quincecross.wire.Order;
-import org.quincecross.wire.WorkerCodec;
 import org.quincecross.wire.WorkerReport;
 import org.quincecross.wire.WorkerReport.Piece;
 import org.slf4j.Logger;
@@ -388,14 +386,15 @@
             return null;
         }
         session.hear(now);
+        if (!commands.mayAnswer(session)) {
+            return null;
+        }
         session.answered(report, now);
         if (!session.wasOpen() && isOpen(session)) {
             stir(session);
         }
         settleChanges();
-        List<Order> orders = session.state() == Session.State.FENCED ? commands.orders(session) : List.of();
-        commands.tellInAnswer(session, orders);
-        byte[] answer = WorkerCodec.writeAnswer(token(), orders);
+        byte[] answer = commands.answer(session);
         commands.sendUntold();
         return answer;
     }
--- a/src/main/java/org/quincecross/block/Commands.java
+++ b/src/main/java/org/quincecross/block/Commands.java
@@ -1,6 +1,7 @@
 package org.quincecross.block;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -11,6 +12,7 @@
 import org.quincecross.model.MachineId;
 import org.quincecross.model.Span;
 import org.quincecross.model.SteadyTime;
+import org.quincecross.model.TaskId;
 import org.quincecross.model.Token;
 import org.quincecross.net.HttpOutcome;
 import org.quincecross.wire.BadMessage;
@@ -42,12 +44,14 @@
     private final BlockHolder holder;
     private final Placements placements;
     private final Map<MachineId, Session> sessions;
+    private final LastAnswers lastAnswers;
 
     Commands(HolderContext context, BlockHolder holder, Placements placements, Map<MachineId, Session> sessions) {
         this.context = context;
         this.holder = holder;
         this.placements = placements;
         this.sessions = sessions;
+        this.lastAnswers = new LastAnswers(context, placements);
     }
 
     /** All that the machine should be told now; everything in it may be told again. */
@@ -80,10 +84,17 @@
         return orders.size() > MOST_ORDERS ? orders.subList(0, MOST_ORDERS) : orders;
     }
 
-    /** These orders go out with the answer to the machine's report. */
-    void tellInAnswer(Session session, List<Order> orders) {
+    /** Whether the machine may be answered, which renews its lease. */
+    boolean mayAnswer(Session session) {
+        return lastAnswers.mayAnswer(session);
+    }
+
+    /** The answer to the machine's report; one that does not obey yet is told nothing but the token. */
+    byte[] answer(Session session) {
+        List<Order> orders = session.state() == Session.State.FENCED ? orders(session) : List.of();
         tell(orders);
-        session.startsInAnswer(starts(orders));
+        session.startsInAnswer(starts(orders).keySet());
+        return WorkerCodec.writeAnswer(holder.lease().token(), orders);
     }
 
     private void tell(List<Order> orders) {
@@ -95,11 +106,11 @@
         }
     }
 
-    private static Set<Attempt> starts(List<Order> orders) {
-        Set<Attempt> starts = new HashSet<>();
+    private static Map<Attempt, TaskId> starts(List<Order> orders) {
+        Map<Attempt, TaskId> starts = new HashMap<>();
         for (Order order : orders) {
             if (order.verb() == Order.Verb.START) {
-                starts.add(order.attempt());
+                starts.put(order.attempt(), order.task());
             }
         }
         return starts;
@@ -130,7 +141,7 @@
 
     private void sendDirect(Session session, List<Order> orders) {
         Token sentWith = holder.lease().token();
-        Set<Attempt> starts = starts(orders);
+        Map<Attempt, TaskId> starts = starts(orders);
         session.directSent(starts);
         LOG.debug("block {}: {} commands to {}", holder.id(), orders.size(), session.machine().id());
         HttpRequest request = HttpRequest.post(WorkerCodec.ORDERS,
@@ -139,7 +150,7 @@
                 outcome -> directEnded(session, starts, sentWith, outcome));
     }
 
-    private void directEnded(Session session, Set<Attempt> starts, Token sentWith, HttpOutcome outcome) {
+    private void directEnded(Session session, Map<Attempt, TaskId> starts, Token sentWith, HttpOutcome outcome) {
         WorkerReport report = readReport(outcome);
         // Another machine may have the address of one that is gone: what that one says is nothing of this one.
         if (report == null || !report.machine().id().equals(session.machine().id())) {
@@ -182,9 +193,9 @@
                     sendDirect(session, List.of());
                     continue;
                 }
-                session.directSent(Set.of());
+                session.directSent(Map.of());
                 context.http().call(session.machine().address(), HttpRequest.get(WorkerCodec.STATUS), DIRECT_TIMEOUT,
-                        outcome -> directEnded(session, Set.of(), holder.lease().token(), outcome));
+                        outcome -> directEnded(session, Map.of(), holder.lease().token(), outcome));
             }
         }
     }
--- a/src/main/java/org/quincecross/block/HolderContext.java
+++ b/src/main/java/org/quincecross/block/HolderContext.java
@@ -5,6 +5,7 @@
 import org.quincecross.agreed.Withheld;
 import org.quincecross.model.BlockId;
 import org.quincecross.model.Job;
+import org.quincecross.model.JobId;
 import org.quincecross.model.MachineId;
 import org.quincecross.model.Revision;
 import org.quincecross.model.Span;
@@ -54,6 +55,14 @@
         return false;
     }
 
+    /**
+     * Whether a job has been cancelled for so long that its tasks may not outlast a lease that is renewed now: less than a lease may be
+     * left of the time that a cancellation has, if its user was told as soon as it was made.
+     */
+    default boolean isLongCancelled(JobId job) {
+        return false;
+    }
+
     /** Something has happened that the leader should hear of soon. */
     void newsForLeader();
 
--- a/src/main/java/org/quincecross/block/Session.java
+++ b/src/main/java/org/quincecross/block/Session.java
@@ -1,16 +1,19 @@
 package org.quincecross.block;
 
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.quincecross.model.Attempt;
 import org.quincecross.model.Machine;
 import org.quincecross.model.Resources;
 import org.quincecross.model.Span;
 import org.quincecross.model.SteadyTime;
+import org.quincecross.model.TaskId;
 import org.quincecross.model.Token;
 import org.quincecross.silence.Deafness;
 import org.quincecross.silence.Freshness;
@@ -37,8 +40,8 @@
     private final double cacheGb;
     private final Map<String, Double> images = new LinkedHashMap<>(16, 0.75f, true);
     private final Set<String> fetched = new HashSet<>();
-    private final Set<Attempt> startsInFlight = new HashSet<>();
-    private final Set<Attempt> startsUnanswered = new HashSet<>();
+    private final Map<Attempt, TaskId> startsInFlight = new HashMap<>();
+    private final Map<Attempt, TaskId> startsUnanswered = new HashMap<>();
     private final Set<Attempt> startsInAnswer = new HashSet<>();
     private final Freshness freshness = new Freshness();
     private State state = State.UNFENCED;
@@ -276,12 +279,25 @@
 
     /** Whether a start of this attempt may yet be executed: then its report must not be cleared, or it starts anew. */
     boolean mayStillStart(Attempt attempt) {
-        return startsInFlight.contains(attempt) || startsUnanswered.contains(attempt) || startsInAnswer.contains(attempt);
+        return startsInFlight.containsKey(attempt) || startsUnanswered.containsKey(attempt) || startsInAnswer.contains(attempt);
     }
 
     /** Whether only a new token or a new session ends the doubt about a start: nothing else of it will come. */
     boolean isInDoubt(Attempt attempt) {
-        return startsUnanswered.contains(attempt);
+        return startsUnanswered.containsKey(attempt);
+    }
+
+    /** Whether one of some tasks may yet start here by a command whose attempt the machine has not shown. */
+    boolean mayYetStart(Predicate<TaskId> which) {
+        return mayYetStart(startsUnanswered, which) || mayYetStart(startsInFlight, which);
+    }
+
+    private boolean mayYetStart(Map<Attempt, TaskId> starts, Predicate<TaskId> which) {
+        if (starts.isEmpty()) {
+            return false;
+        }
+        Set<Attempt> shown = report == null ? Set.of() : reportedAttempts();
+        return starts.entrySet().stream().anyMatch(start -> !shown.contains(start.getKey()) && which.test(start.getValue()));
     }
 
     /** How many exits the machine reports that must not be cleared, because a start of theirs may still come. */
@@ -304,22 +320,22 @@
         return !directRunning && !now.isBefore(directAfter);
     }
 
-    void directSent(Set<Attempt> starts) {
+    void directSent(Map<Attempt, TaskId> starts) {
         directRunning = true;
         freshness.asking();
-        startsInFlight.addAll(starts);
+        startsInFlight.putAll(starts);
     }
 
-    void directAnswered(Set<Attempt> starts) {
+    void directAnswered(Map<Attempt, TaskId> starts) {
         directRunning = false;
-        startsInFlight.removeAll(starts);
+        startsInFlight.keySet().removeAll(starts.keySet());
     }
 
-    void directFailed(Set<Attempt> starts, boolean mayHaveArrived, SteadyTime retryAt) {
+    void directFailed(Map<Attempt, TaskId> starts, boolean mayHaveArrived, SteadyTime retryAt) {
         directAnswered(starts);
         freshness.unanswered();
         if (mayHaveArrived) {
-            startsUnanswered.addAll(starts);
+            startsUnanswered.putAll(starts);
         }
         directAfter = retryAt;
     }
