--- a/src/main/java/org/quincecross/api/Controller.java
+++ b/src/main/java/org/quincecross/api/Controller.java
@@ -21,6 +21,7 @@
 import org.quincecross.model.BlockId;
 import org.quincecross.model.Job;
 import org.quincecross.model.JobId;
+import org.quincecross.model.JobPhase;
 import org.quincecross.model.MachineId;
 import org.quincecross.model.MemberId;
 import org.quincecross.model.Revision;
@@ -43,6 +44,7 @@
 import org.quincecross.state.BlockLease;
 import org.quincecross.state.Follower;
 import org.quincecross.state.Foresight;
+import org.quincecross.state.JobRecord;
 import org.quincecross.state.Ledger;
 import org.quincecross.state.Membership;
 import org.quincecross.state.StateClient;
@@ -87,6 +89,7 @@
     private final Stillness stillness;
     private final Aloneness aloneness;
     private final UnconfirmedBound unconfirmedBound;
+    private final LongSupplier clockMs;
     private long reports;
     private long regularReports;
     private boolean newsPlanned;
@@ -105,6 +108,7 @@
         http = Watched.caller(caller, this::lookAtClock);
         this.peers = peers;
         this.settings = settings;
+        this.clockMs = clockMs;
         StateClient client = new StateClient(timers, http, settings.state(), settings.stateLimits());
         follower = new Follower(timers, client, ledger);
         aloneness = new Aloneness(settings.siblings().stream().allMatch(other -> settings.member().compareTo(other.member()) < 0), clock.now());
@@ -401,6 +405,17 @@
         return unconfirmedBound.unconfirmed();
     }
 
+    @Override
+    public boolean isLongCancelled(JobId id) {
+        JobRecord record = ledger.job(id);
+        if (record == null || record.phase() != JobPhase.CANCELLED) {
+            return false;
+        }
+        // It was made at this time or later, whatever the clocks here and there are off; and told no earlier.
+        Span atMost = Span.ofMillis(clockMs.getAsLong() - record.cancelledMs()).plus(settings.clockBound().times(2));
+        return atMost.plus(unconfirmedBound.toldAfter()).isMoreThan(unconfirmedBound.unconfirmed());
+    }
+
     @Override
     public boolean allHaveNoted(Revision revision) {
         for (Settings.Sibling sibling : settings.siblings()) {
