--- a/src/main/java/org/quincecross/state/Follower.java
+++ b/src/main/java/org/quincecross/state/Follower.java
@@ -36,7 +36,17 @@
     private static final int PAGE = 400;
 
     /** The states of following. */
-    public enum State { LOADING, FOLLOWING }
+    public enum State {
+        /** The records are being read, page by page. Ends with the last page; a page that does not come is asked for again. */
+        LOADING,
+        /**
+         * What has changed since the first page is being read. Until it is, nothing else may move the ledger on, and no barrier is
+         * made: what it brought would be taken back by records that were read before it.
+         */
+        CATCHING_UP,
+        /** Changes are watched. */
+        FOLLOWING
+    }
 
     private final Timers timers;
     private final StateClient client;
@@ -125,7 +135,7 @@
     private void finishLoad(Map<String, Ledger.StateEntry> entries, Revision from, SteadyTime begun) {
         // Pages are read one after the other, at revisions that may differ: the changes since the first page are
         // caught up with before anyone sees the records.
-        enter(State.FOLLOWING);
+        enter(State.CATCHING_UP);
         int mine = generation;
         client.read(StateCodec.watchPath(Keys.ROOT, from, 0), BARRIER_TIMEOUT, outcome -> {
             if (generation != mine) {
@@ -147,6 +157,7 @@
                         entries.put(event.key(), new Ledger.StateEntry(event.value(), event.version()));
                     }
                 }
+                enter(State.FOLLOWING);
                 confirmed = begun;
                 answering = begun;
                 LOG.info("records read: {} keys at revision {}", entries.size(), page.revision());
@@ -248,6 +259,12 @@
         if (barrierRunning || askers.isEmpty()) {
             return;
         }
+        if (state != State.FOLLOWING) {
+            List<Consumer<Boolean>> refused = askers;
+            askers = new ArrayList<>();
+            refused.forEach(asker -> asker.accept(false));
+            return;
+        }
         Span pause = lastBarrier == null ? BARRIER_SPACING : timers.now().since(lastBarrier);
         if (BARRIER_SPACING.isMoreThan(pause)) {
             if (!spacingPlanned) {
