--- a/src/test/java/org/quincecross/emulator/SeedsTest.java
+++ b/src/test/java/org/quincecross/emulator/SeedsTest.java
@@ -43,6 +43,12 @@
         play(seed -> (seed % 2 == 0 ? new Day(seed) : Day.ofRolls(seed)).with(LateWriteDays::on));
     }
 
+    /** The same with late copies of reports, and commands, reports and answers that are held up for up to 15 s. */
+    @Test
+    void everyDayOfHeldMessagesKeepsTheRulesAndNothingHangs() {
+        play(HeldMessagesTest::day);
+    }
+
     private static void play(LongFunction<Day> day) {
         String[] range = System.getProperty("seeds", "20000-24999").split("-");
         Map<Long, Object> wrong = new ConcurrentSkipListMap<>();
