--- a/src/main/java/org/quincecross/emulator/VirtualNet.java
+++ b/src/main/java/org/quincecross/emulator/VirtualNet.java
@@ -25,6 +25,7 @@
     private final Map<String, Double> silentUntil = new HashMap<>();
     private final Map<String, Double> deafUntil = new HashMap<>();
     private int startsUnheard;
+    private double holdNext;
 
     private LateCopies copies = LateCopies.NONE;
 
@@ -65,6 +66,11 @@
         silentUntil.put(name, untilS);
     }
 
+    /** The next request is held up for so long. */
+    void holdNext(double seconds) {
+        holdNext = seconds;
+    }
+
     /** From now on some reports come a second time, later. */
     void copyLate(LateCopies late) {
         copies = late;
@@ -151,6 +157,8 @@
             return;
         }
         countUnheard(name, request.body());
+        double held = holdNext;
+        holdNext = 0;
         Object process = host.process();
         String link = from + ">" + to;
         if (isCut(from, name) && connected.get(link) != process) {
@@ -158,7 +166,7 @@
             time.after(timeout.seconds(), () -> once.accept(HttpOutcome.failed(false)));
             return;
         }
-        send(from, name, () -> {
+        Runnable arrival = () -> {
             // Of what was lost on its way there is no copy: that would be a report that is late, and news.
             copies.perhaps(request, to, (late, endpoint) -> time.after(late, () -> copyArrives(from, endpoint, request)));
             // What is held back is on a connection; a process that is back since knows nothing of it.
@@ -169,7 +177,12 @@
                     send(name, from, () -> once.accept(HttpOutcome.answered(response)));
                 });
             }
-        });
+        };
+        if (held > 0) {
+            time.after(held, () -> send(from, name, arrival));
+        } else {
+            send(from, name, arrival);
+        }
         time.after(timeout.seconds(), () -> once.accept(HttpOutcome.failed(true)));
     }
 
--- a/src/main/java/org/quincecross/emulator/World.java
+++ b/src/main/java/org/quincecross/emulator/World.java
@@ -241,7 +241,9 @@
         /** The message is sent, and its answer waits for the controller. */
         STILL_AFTER,
         /** The message is the last that is heard of it for a while. */
-        SILENT
+        SILENT,
+        /** The message alone is held up by the network; its sender goes on, and gives up on it. */
+        HELD
     }
 
     /** A controller that sends a request of a kind for the first time meets with a mishap. */
@@ -263,7 +265,9 @@
                 return 0;
             }
             sprungAt = node;
-            if (mishap == Mishap.SILENT) {
+            if (mishap == Mishap.HELD) {
+                net.holdNext(seconds);
+            } else if (mishap == Mishap.SILENT) {
                 time.after(0.006, () -> silence(node, seconds, true));
             } else {
                 standStill(node, seconds);
--- a/src/test/java/org/quincecross/block/HolderHarness.java
+++ b/src/test/java/org/quincecross/block/HolderHarness.java
@@ -62,6 +62,7 @@
     long revision;
     long lastConfirmed = Long.MAX_VALUE;
     long order;
+    boolean longCancelled;
     BlockHolder holder;
 
     final class Context implements HolderContext {
@@ -124,6 +125,11 @@
             return Span.ofSeconds(20);
         }
 
+        @Override
+        public boolean isLongCancelled(JobId job) {
+            return longCancelled;
+        }
+
         @Override
         public void newsForLeader() {
         }
