--- a/src/main/java/org/quincecross/emulator/VirtualNet.java
+++ b/src/main/java/org/quincecross/emulator/VirtualNet.java
@@ -27,6 +27,7 @@
     private int startsUnheard;
 
     private LateCopies copies = LateCopies.NONE;
+    private HeldMessages held = HeldMessages.NONE;
 
     VirtualNet(VirtualTime time, Random random) {
         this.time = time;
@@ -70,6 +71,11 @@
         copies = late;
     }
 
+    /** From now on some messages between controllers and machines are held up. */
+    void hold(HeldMessages messages) {
+        held = messages;
+    }
+
     boolean isSilent(String name) {
         return !silentUntil.isEmpty() && silentUntil.getOrDefault(name, 0.0) > time.seconds();
     }
@@ -127,9 +133,13 @@
     }
 
     void send(String from, String to, Runnable arrival) {
+        send(from, to, 0, arrival);
+    }
+
+    private void send(String from, String to, double heldS, Runnable arrival) {
         double delay = delay(from, to);
         if (delay >= 0) {
-            time.after(delay, arrival);
+            time.after(delay + heldS, arrival);
         }
     }
 
@@ -158,7 +168,7 @@
             time.after(timeout.seconds(), () -> once.accept(HttpOutcome.failed(false)));
             return;
         }
-        send(from, name, () -> {
+        send(from, name, held.seconds(request), () -> {
             // Of what was lost on its way there is no copy: that would be a report that is late, and news.
             copies.perhaps(request, to, (late, endpoint) -> time.after(late, () -> copyArrives(from, endpoint, request)));
             // What is held back is on a connection; a process that is back since knows nothing of it.
@@ -166,7 +176,7 @@
                 connected.put(link, process);
                 host.request(from, request, response -> {
                     countUnheard(from, response.body());
-                    send(name, from, () -> once.accept(HttpOutcome.answered(response)));
+                    send(name, from, held.seconds(request), () -> once.accept(HttpOutcome.answered(response)));
                 });
             }
         });
--- a/src/main/java/org/quincecross/emulator/World.java
+++ b/src/main/java/org/quincecross/emulator/World.java
@@ -346,6 +346,11 @@
         net.copyLate(share == 0 ? LateCopies.NONE : new LateCopies(share, 3 * site.workers().lease().seconds(), nodes, draws));
     }
 
+    /** From now on a share of all commands to machines, of reports, and of the answers to either is held up for 0.5 s to so long. */
+    void holdMessages(double share, double longestS, Random draws) {
+        net.hold(new HeldMessages(share, longestS, draws));
+    }
+
     /** Connections between a controller and the others are refused for a while. */
     void refuseLinks(int node, double seconds) {
         for (int other = 0; other < nodeCount(); other++) {
--- a/src/test/java/org/quincecross/emulator/BackAtOnce.java
+++ b/src/test/java/org/quincecross/emulator/BackAtOnce.java
@@ -2,7 +2,7 @@
 
 import java.util.Random;
 
-/** Troubles drawn beside those of a {@link Day}, from a source of their own: late copies, machines and processes back at once. */
+/** Troubles drawn beside those of a {@link Day}, from a source of their own: late copies, messages held up, machines and processes back at once. */
 final class BackAtOnce {
     private static final double FROM_S = 12;
     private static final double UNTIL_S = 150;
@@ -26,6 +26,14 @@
         return this;
     }
 
+    /** Between these seconds of the day a share of commands, reports and answers to either is held up for up to so long. */
+    BackAtOnce held(double share, double longestS) {
+        Random draws = new Random(random.nextLong());
+        world.time().at(FROM_S, () -> world.holdMessages(share, longestS, draws));
+        world.time().at(UNTIL_S, () -> world.holdMessages(0, 0, draws));
+        return this;
+    }
+
     /** Now and then each machine with this chance is restarted: it is back in a fraction of a second, its counts begun anew. */
     BackAtOnce machines(double share, int times) {
         for (int i = 0; i < times; i++) {
--- /dev/null
+++ b/src/test/java/org/quincecross/emulator/HeldMessagesTest.java
@@ -0,0 +1,29 @@
+package org.quincecross.emulator;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Days on which commands, reports and the answers to either are held up for half a second to 15 s and then arrive, after later ones, and
+ * reports come a second time up to three leases late.
+ */
+class HeldMessagesTest {
+    private static final double LONGEST_S = 15;
+
+    /** Of every four such days one has each of: few messages held up and many copies, many and few, half of all, machines back at once. */
+    static Day day(long seed) {
+        double held = List.of(0.03, 0.2, 0.5, 0.1).get((int) (seed % 4));
+        double copies = List.of(0.5, 0.05, 0.2, 0.1).get((int) (seed % 4));
+        return new Day(seed).with((world, each) -> new BackAtOnce(world, each).copies(copies).held(held, LONGEST_S)
+                .machines(1.0 / 6, seed % 4 == 3 ? 2 : 0));
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4})
+    void keepsTheRulesAndFinishesTheWork(long seed) {
+        assertEquals(List.of(), day(seed).play());
+    }
+}
--- a/src/test/java/org/quincecross/emulator/SeedsTest.java
+++ b/src/test/java/org/quincecross/emulator/SeedsTest.java
@@ -37,6 +37,12 @@
                 .copies(share).machines(1.0 / 6, machines).controllers(controllers)));
     }
 
+    /** The same with late copies of reports, and commands, reports and answers that are held up for up to 15 s. */
+    @Test
+    void everyDayOfHeldMessagesKeepsTheRulesAndNothingHangs() {
+        play(HeldMessagesTest::day);
+    }
+
     private static void play(LongFunction<Day> day) {
         String[] range = System.getProperty("seeds", "20000-24999").split("-");
         Map<Long, Object> wrong = new ConcurrentSkipListMap<>();
