--- a/src/test/java/org/quincecross/block/HolderHarness.java
+++ b/src/test/java/org/quincecross/block/HolderHarness.java
@@ -64,7 +64,7 @@
     long order;
     BlockHolder holder;
 
-    final class Context implements HolderContext {
+    class Context implements HolderContext {
         @Override
         public Timers timers() {
             return clock;
