--- a/src/test/java/org/quincecross/api/CancelModelTest.java
+++ b/src/test/java/org/quincecross/api/CancelModelTest.java
@@ -194,6 +194,8 @@
     private State violation;
     private boolean toldAtOnce;
     private boolean toldLate;
+    /** The longest that the task was there after its user was told. */
+    private int longest;
 
     /** The states that were reached: an open table of numbers. */
     private static final class Known {
@@ -233,7 +235,8 @@
 
     /** A state that may follow. */
     private void next(State state) {
-        if (state.runs && state.told > CANCEL && violation == null) {
+        longest = state.runs ? Math.max(longest, state.told) : longest;
+        if (longest > CANCEL && violation == null) {
             violation = state;
         }
         for (int i = 0; i < HOLDERS; i++) {
@@ -506,6 +509,7 @@
         int states = explore();
         assertNull(violation);
         assertTrue(toldAtOnce && toldLate);
+        assertEquals(CANCEL, longest, "the bounds are no shorter than they have to be");
         assertEquals(749_437, states);
     }
 
