--- a/src/test/java/org/quincecross/api/CancelModelTest.java
+++ b/src/test/java/org/quincecross/api/CancelModelTest.java
@@ -138,8 +138,8 @@
             for (int each : new int[] {formed, seen, told, leaseAge, report}) {
                 key = key << 3 | each + 1;
             }
-            return key << 14 | bits(wasDurable[1], wasLeasedAnew[1], overtaken, wasDurable[0], wasLeasedAnew[0], durable, leasedAnew, allocated, knowsNewLease, knowsAllocated, token == 1, runs,
-                    reportToken == 1, reportRuns);
+            return key << 14 | bits(wasDurable[1], wasLeasedAnew[1], overtaken, wasDurable[0], wasLeasedAnew[0], durable, leasedAnew, allocated,
+                    knowsNewLease, knowsAllocated, token == 1, runs, reportToken == 1, reportRuns);
         }
 
         private static int bits(boolean... all) {
@@ -284,8 +284,6 @@
 
     private void steps(State from) {
         time(from);
-        records(from);
-        teller(from);
         for (int i = 0; i < HOLDERS; i++) {
             if (from.holds[i] || i == 1) {
                 follow(from, i);
@@ -295,6 +293,8 @@
             }
         }
         machine(from);
+        teller(from);
+        records(from);
     }
 
     private static int older(int age, int most) {
