--- a/src/test/java/org/quincecross/block/HolderModelTest.java
+++ b/src/test/java/org/quincecross/block/HolderModelTest.java
@@ -14,9 +14,9 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.stream.IntStream;
-import net.jqwik.api.Example;
-import net.jqwik.api.ForAll;
-import net.jqwik.api.Property;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
 import org.quincecross.agreed.Withheld;
 import org.quincecross.http.HttpRequest;
 import org.quincecross.http.HttpResponse;
@@ -38,6 +38,7 @@
 import org.quincecross.net.HttpOutcome;
 import org.quincecross.rollout.Build;
 import org.quincecross.rollout.Terms;
+import org.quincecross.state.Allocation;
 import org.quincecross.state.JobRecord;
 import org.quincecross.state.Keys;
 import org.quincecross.state.MemberRecord;
@@ -52,7 +53,8 @@
 /**
  * A holder and three workers, with everything between them drawn: commands, reports and the answers to either are held up, lost, come late
  * and come again; machines hang, are cut off in one direction or both, and lose their leases; the holder stands still, is followed by
- * another one while it goes on, and is told to stop tasks and to start them again. No task is ever on two machines, and all end.
+ * another one while it goes on, and is told to stop tasks and to start them again. No task is ever on two machines,
+ * none starts again under an attempt that has been cleared, and all end.
  */
 class HolderModelTest {
     private static final double TROUBLE_S = 100;
@@ -95,7 +97,7 @@
             for (int i = 1; i <= 3; i++) {
                 workers.add(new Worker(new Machine(new MachineId("m-" + i), new Endpoint("10.1.0." + i, 9000), "t", "z", false)));
             }
-            put(Keys.allocation(BLOCK), org.quincecross.state.Allocation.write(Map.of()));
+            put(Keys.allocation(BLOCK), Allocation.write(Map.of()));
             put(Keys.block(BLOCK), ledger.blocks().get(BLOCK).with(workers.get(1).machine).with(workers.get(2).machine).write());
             leaseAnew(0);
         }
@@ -233,7 +235,7 @@
         private void allocateAll() {
             TaskSet copy = new TaskSet();
             IntStream.range(0, TASKS).filter(allocated::has).forEach(copy::add);
-            put(Keys.allocation(BLOCK), org.quincecross.state.Allocation.write(copy.isEmpty() ? Map.of() : Map.of(job.id(), copy)));
+            put(Keys.allocation(BLOCK), Allocation.write(copy.isEmpty() ? Map.of() : Map.of(job.id(), copy)));
             holder.sync();
         }
 
@@ -270,7 +272,7 @@
                 return;
             }
             Worker worker = workers.get(random.nextInt(workers.size()));
-            switch (random.nextInt(6)) {
+            switch (random.nextInt(7)) {
                 case 0 -> worker.hangUntil = now() + between(0.5, 9);
                 case 1 -> worker.cut(random.nextBoolean(), random.nextBoolean(), between(2, 16));
                 case 2 -> worker.unansweredUntil = now() + between(4, 24);
@@ -281,7 +283,13 @@
                     awake(() -> holder.jobsChanged(Set.of(job.id())));
                     later(between(0.3, 6), () -> IntStream.range(0, TASKS).forEach(withheld::remove));
                 }
-                default -> standStill(between(1, 14));
+                case 5 -> standStill(between(1, 14));
+                default -> {
+                    // Reports go unanswered for so long that leases end, and commands arrive.
+                    double still = between(7, 13);
+                    standStill(still);
+                    workers.forEach(each -> each.unansweredUntil = now() + still + between(2, 12));
+                }
             }
             later(between(1, 7), this::trouble);
         }
@@ -341,6 +349,8 @@
             private static final double LEASE_S = 10;
             private final Machine machine;
             private final Map<Key, Task> tasks = new LinkedHashMap<>();
+            /** What has been started in this session: none of it may start again. */
+            private final Set<Key> ever = new HashSet<>();
             private long session = 1;
             private long order;
             private long token;
@@ -372,6 +382,7 @@
             void watchLease() {
                 if (now() - leaseFrom > LEASE_S) {
                     tasks.clear();
+                    ever.clear();
                     session++;
                     leaseFrom = now();
                     soon(0.1);
@@ -501,6 +512,9 @@
             }
 
             private void start(Key key) {
+                if (!ever.add(key)) {
+                    broken.add(key + " starts anew on " + machine.id() + ", which has cleared it, at " + now());
+                }
                 Task task = new Task();
                 boolean inUse = has(key.task());
                 long used = tasks.values().stream().filter(each -> each.cause == null).count();
@@ -514,7 +528,7 @@
                         broken.add(key + " on " + machine.id() + " and " + other.machine.id() + " at " + now());
                     }
                 }
-                later(done.contains(key.task().index()) ? 0.2 : between(0.5, 7), () -> whenGoing(() -> {
+                later(done.contains(key.task().index()) ? 0.2 : random.nextBoolean() ? between(0.1, 1) : between(1, 8), () -> whenGoing(() -> {
                     if (tasks.get(key) == task && task.cause == null) {
                         done.add(key.task().index());
                         exit(key, task, Cause.DONE);
@@ -540,15 +554,16 @@
         assertEquals(TASKS, model.finished.size(), "seed " + seed + ": " + model.left());
     }
 
-    @Property(tries = 60)
-    void noTaskIsOnTwoMachinesAndAllEnd(@ForAll long seed) {
-        play(seed);
+    /** Among them, days that show each guard out: late reports (most of them), clears (20, 24), doubts (2), commands in flight (44), leases (59). */
+    @Test
+    void noTaskIsOnTwoMachinesAndAllEnd() {
+        LongStream.concat(LongStream.rangeClosed(1, 24), LongStream.of(31, 38, 44, 56, 59)).forEach(HolderModelTest::play);
     }
 
-    @Example
-    void aFewThatAreFixed() {
-        for (long seed = 1; seed <= 20; seed++) {
-            play(seed);
-        }
+    @Test
+    @Tag("seeds")
+    void theSameForManySeeds() {
+        String[] range = System.getProperty("seeds", "20000-24999").split("-");
+        LongStream.rangeClosed(Long.parseLong(range[0]), Long.parseLong(range[1])).parallel().forEach(HolderModelTest::play);
     }
 }
