--- a/src/main/java/org/quincecross/emulator/Rules.java
+++ b/src/main/java/org/quincecross/emulator/Rules.java
@@ -22,6 +22,7 @@
     private final Map<JobId, Map<String, Integer>> zones = new HashMap<>();
     private final Map<String, Resources> used = new HashMap<>();
     private final Map<JobId, Double> cancelled = new HashMap<>();
+    private final Set<JobId> late = new HashSet<>();
     private final Map<JobId, String> last = new HashMap<>();
     private final Map<JobId, Set<Integer>> done = new HashMap<>();
     private final Map<JobId, TaskSet> startedTasks = new HashMap<>();
@@ -88,6 +89,7 @@
     void off(TaskId task, MachineId machine) {
         Map<MachineId, Machine> places = on.get(task);
         if (places != null) {
+            checkCancelled(task.job());
             Machine left = places.remove(machine);
             if (left != null) {
                 count(task, left, -1);
@@ -154,7 +156,8 @@
 
     private void checkCancelled(JobId job) {
         Double at = cancelled.get(job);
-        if (at != null && zones.containsKey(job) && around.clock().seconds() > at + around.site().workers().cancel().seconds()) {
+        if (at != null && !late.contains(job) && zones.containsKey(job) && around.clock().seconds() > at + around.site().workers().cancel().seconds()) {
+            late.add(job);
             breaks("ran_cancelled", job + " in " + zones.get(job));
         }
     }
--- a/src/main/java/org/quincecross/emulator/StateService.java
+++ b/src/main/java/org/quincecross/emulator/StateService.java
@@ -70,6 +70,11 @@
     private long throttled;
     private boolean out;
     private int lateOneIn;
+    private double lateShare;
+    private double lateUntil = -1;
+    private double slowLeast;
+    private double slowMost;
+    private double slowUntil = -1;
     private int keptChanges = KEPT_CHANGES;
 
     StateService(Clock clock, Random random, Settings.StateLimits limits) {
@@ -89,6 +94,19 @@
         lateOneIn = oneIn;
     }
 
+    /** For a while this share of all transactions gets no answer and is carried out 2 to 12 s later, after newer ones. */
+    void lateWrites(double share, double forS) {
+        lateShare = share;
+        lateUntil = clock.seconds() + forS;
+    }
+
+    /** For a while every answer comes so many seconds later; what was asked for is done at once. */
+    void slow(double leastS, double mostS, double forS) {
+        slowLeast = leastS;
+        slowMost = mostS;
+        slowUntil = clock.seconds() + forS;
+    }
+
     /** Watches that lie further behind than so many changes are answered with 410. */
     void keepChanges(int most) {
         keptChanges = most;
@@ -126,6 +144,15 @@
 
     @Override
     public void request(String from, HttpRequest request, Consumer<HttpResponse> reply) {
+        if (clock.seconds() < slowUntil) {
+            double late = slowLeast + random.nextDouble() * (slowMost - slowLeast);
+            answer(from, request, response -> clock.after(late, () -> reply.accept(response)));
+        } else {
+            answer(from, request, reply);
+        }
+    }
+
+    private void answer(String from, HttpRequest request, Consumer<HttpResponse> reply) {
         if (out || refused.contains(from)) {
             reply.accept(HttpResponse.of(503));
             return;
@@ -224,19 +251,25 @@
         }
         if (lateOneIn > 0 && random.nextInt(lateOneIn) == 0) {
             // Applied late, when the sender has long given up.
-            clock.after(3 + random.nextDouble() * 20, () -> {
-                try {
-                    expire();
-                    txn(in, changes);
-                } catch (BadMessage e) {
-                    throw new IllegalStateException(e);
-                }
-            });
+            carryOut(in, changes, 3 + random.nextDouble() * 20);
+        } else if (clock.seconds() < lateUntil && random.nextDouble() < lateShare) {
+            carryOut(in, changes, 2 + random.nextDouble() * 10);
         } else {
             reply.accept(txn(in, changes));
         }
     }
 
+    private void carryOut(Fields in, List<Fields> changes, double afterS) {
+        clock.after(afterS, () -> {
+            try {
+                expire();
+                txn(in, changes);
+            } catch (BadMessage e) {
+                throw new IllegalStateException(e);
+            }
+        });
+    }
+
     private HttpResponse txn(Fields in, List<Fields> changes) throws BadMessage {
         List<Object> failed = new ArrayList<>();
         List<Fields> guards = in.listOrEmpty("Guards").isEmpty() ? List.of() : in.objects("Guards");
--- a/src/main/java/org/quincecross/emulator/Tasks.java
+++ b/src/main/java/org/quincecross/emulator/Tasks.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import org.quincecross.model.Job;
+import org.quincecross.model.JobId;
 import org.quincecross.model.TaskId;
 
 /** What tasks do, wherever they are: how far they are, and how the tasks of a gang find one another. */
@@ -16,6 +17,7 @@
     private final Rules rules;
     private final Map<TaskId, Double> saved = new HashMap<>();
     private final Map<Start, Worker> gangs = new HashMap<>();
+    private final Map<JobId, List<Double>> apart = new HashMap<>();
 
     Tasks(Users users, Rules rules) {
         this.users = users;
@@ -28,7 +30,13 @@
             return 0; // its result is kept
         }
         Job job = users.job(task.job());
-        return Math.max(0, secondsOf(job) - saved.getOrDefault(task, 0.0));
+        List<Double> each = apart.get(job.id());
+        return Math.max(0, (each == null ? secondsOf(job) : each.get(task.index())) - saved.getOrDefault(task, 0.0));
+    }
+
+    /** The tasks of a job end far apart: so many seconds of work, at nominal speed, are in each. */
+    void endApart(JobId job, List<Double> seconds) {
+        apart.put(job, List.copyOf(seconds));
     }
 
     /** Seconds of work, at nominal speed, of each task of a job: half of its estimate to one and a half times. */
--- a/src/main/java/org/quincecross/emulator/Users.java
+++ b/src/main/java/org/quincecross/emulator/Users.java
@@ -212,6 +212,18 @@
         });
     }
 
+    /** An accepted job is submitted once more, as a retry may come at any later time. */
+    void submitAgain(JobId id) {
+        String before = around.rules().lastTold(id);
+        ask(id, "submit", HttpRequest.post(JobCodec.JOBS, Json.write(JobCodec.write(jobs.get(id)))), SUBMIT_TIMEOUT_S, outcome -> {
+            if (outcome.status() == 200 || outcome.status() == 201) {
+                heard(id, outcome, before);
+            } else if (outcome.status() == 400 || outcome.status() == 422) {
+                around.rules().forgotten(id);
+            }
+        });
+    }
+
     private static double retryAfter(HttpOutcome outcome) {
         return outcome.response() == null ? 0 : Math.min(MOST_RETRY_AFTER_S, outcome.response().retryAfterS());
     }
--- a/src/main/java/org/quincecross/emulator/VirtualNet.java
+++ b/src/main/java/org/quincecross/emulator/VirtualNet.java
@@ -25,6 +25,8 @@
     private final Map<String, Double> silentUntil = new HashMap<>();
     private final Map<String, Double> deafUntil = new HashMap<>();
     private int startsUnheard;
+    private double heldShare;
+    private double heldUntil = -1;
 
     private LateCopies copies = LateCopies.NONE;
 
@@ -70,6 +72,18 @@
         copies = late;
     }
 
+    /** For a while this share of all direct commands to machines, or of the answers to them, comes 1 to 9 s late. */
+    void holdCommands(double share, double forS) {
+        heldShare = share;
+        heldUntil = time.seconds() + forS;
+    }
+
+    /** For how long a direct command is held; 0: not at all. */
+    private double held(HttpRequest request) {
+        boolean holds = time.seconds() < heldUntil && request.path().equals("/orders") && random.nextDouble() < heldShare;
+        return holds ? 1 + random.nextDouble() * 8 : 0;
+    }
+
     boolean isSilent(String name) {
         return !silentUntil.isEmpty() && silentUntil.getOrDefault(name, 0.0) > time.seconds();
     }
@@ -127,9 +141,13 @@
     }
 
     void send(String from, String to, Runnable arrival) {
+        send(from, to, 0, arrival);
+    }
+
+    private void send(String from, String to, double heldS, Runnable arrival) {
         double delay = delay(from, to);
         if (delay >= 0) {
-            time.after(delay, arrival);
+            time.after(delay + heldS, arrival);
         }
     }
 
@@ -158,7 +176,9 @@
             time.after(timeout.seconds(), () -> once.accept(HttpOutcome.failed(false)));
             return;
         }
-        send(from, name, () -> {
+        double held = held(request);
+        boolean holdsAnswer = held > 0 && random.nextBoolean();
+        send(from, name, holdsAnswer ? 0 : held, () -> {
             // Of what was lost on its way there is no copy: that would be a report that is late, and news.
             copies.perhaps(request, to, (late, endpoint) -> time.after(late, () -> copyArrives(from, endpoint, request)));
             // What is held back is on a connection; a process that is back since knows nothing of it.
@@ -166,7 +186,7 @@
                 connected.put(link, process);
                 host.request(from, request, response -> {
                     countUnheard(from, response.body());
-                    send(name, from, () -> once.accept(HttpOutcome.answered(response)));
+                    send(name, from, holdsAnswer ? held : 0, () -> once.accept(HttpOutcome.answered(response)));
                 });
             }
         });
--- a/src/main/java/org/quincecross/emulator/Worker.java
+++ b/src/main/java/org/quincecross/emulator/Worker.java
@@ -29,6 +29,8 @@
     private static final double LEAST_BETWEEN_REPORTS_S = 0.5;
     /** A lease that runs out is noticed so much later at the most. */
     private static final double LEASE_LOOK_S = 0.05;
+    /** A rest of less than the clock's step would be waited for without the time moving on. */
+    private static final double CLOCK_STEP_S = 1e-9;
 
     /**
      * What a machine is like.
@@ -185,7 +187,7 @@
                 return; // put off by a worker that has ended since
             }
             if (life.isAlive() && clock.seconds() < hangsUntil) {
-                after(hangsUntil - clock.seconds(), action);
+                after(Math.max(hangsUntil - clock.seconds(), CLOCK_STEP_S), action);
             } else if (life.isAlive()) {
                 action.run();
             }
@@ -312,7 +314,7 @@
             return; // whoever asked waits until its time is up
         }
         if (clock.seconds() < hangsUntil) {
-            after(hangsUntil - clock.seconds(), () -> request(from, request, reply));
+            after(Math.max(hangsUntil - clock.seconds(), CLOCK_STEP_S), () -> request(from, request, reply));
             return;
         }
         if (request.path().equals("/status")) {
--- a/src/main/java/org/quincecross/emulator/World.java
+++ b/src/main/java/org/quincecross/emulator/World.java
@@ -346,6 +346,11 @@
         net.copyLate(share == 0 ? LateCopies.NONE : new LateCopies(share, 3 * site.workers().lease().seconds(), nodes, draws));
     }
 
+    /** For a while this share of all direct commands to machines, or of the answers to them, comes seconds late. */
+    void holdCommands(double share, double forS) {
+        net.holdCommands(share, forS);
+    }
+
     /** Connections between a controller and the others are refused for a while. */
     void refuseLinks(int node, double seconds) {
         for (int other = 0; other < nodeCount(); other++) {
--- a/src/test/java/org/quincecross/emulator/Day.java
+++ b/src/test/java/org/quincecross/emulator/Day.java
@@ -4,8 +4,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.function.BiConsumer;
-import java.util.function.Predicate;
 import org.quincecross.model.Job;
 import org.quincecross.model.JobId;
 import org.quincecross.model.MachineId;
@@ -15,6 +15,7 @@
 import org.quincecross.model.Span;
 import org.quincecross.rollout.Build;
 import org.quincecross.wire.Features;
+import org.quincecross.wire.Settings;
 
 /** A day drawn from a seed: jobs of all kinds, troubles alone and together, then quiet. */
 final class Day {
@@ -24,6 +25,7 @@
     /** After so much quiet whatever can run runs. */
     private static final double QUIET_S = 120;
     private static final int JOBS = 60;
+    private static final int MISTAKES = 3;
     /** Of so many days, one has a job of more tasks than a chunk of the records of done tasks. */
     private static final int DAYS_PER_LARGE_JOB = 40;
 
@@ -31,6 +33,7 @@
     private final World world;
     private final Random random;
     private final Liveness liveness;
+    private final Meetings meetings;
     private boolean rolls;
 
     private static final Build OLD = Build.present("old", 1);
@@ -67,10 +70,7 @@
     }
 
     private Day(long seed, World world) {
-        this.seed = seed;
-        this.world = world;
-        random = world.random();
-        liveness = new Liveness(world);
+        this(seed, world, null);
         for (int i = 0; i < JOBS; i++) {
             int number = 1000 + i;
             world.time().at(3 + i * 2.2, () -> world.users().submit(number));
@@ -83,6 +83,35 @@
         }
     }
 
+    private Day(long seed, World world, Meetings meetings) {
+        this.seed = seed;
+        this.world = world;
+        this.meetings = meetings;
+        random = world.random();
+        liveness = new Liveness(world);
+    }
+
+    /** A day of troubles that meet on purpose, on one of several sites. */
+    static Day ofMeetings(long seed) {
+        return ofMeetings(seed, Set.of());
+    }
+
+    /** The same with only some of its meetings, by number; none named: all. */
+    static Day ofMeetings(long seed, Set<Integer> only) {
+        Site site = Site.small();
+        List<Settings.Workers> workers = List.of(site.workers(), Site.tryOut(9, true).workers(), Site.mixed(690).workers());
+        World world = new World(site.with(workers.get((int) Math.floorMod(seed, (long) workers.size()))), seed, Meter.OFF);
+        Day day = new Day(seed, world, new Meetings(world, seed, only));
+        for (int i = 0; i < JOBS; i++) {
+            int number = 1000 + i;
+            world.time().at(3 + i * 2.2, () -> world.users().submit(number));
+        }
+        for (int i = 0; i < MISTAKES; i++) {
+            world.time().at(FIRST_TROUBLE_S + 45 * i, day::mistake);
+        }
+        return day;
+    }
+
     /** Has more troubles beside those of the day. */
     Day with(BiConsumer<World, Long> more) {
         more.accept(world, seed);
@@ -91,9 +120,10 @@
 
     /** Plays the day until all work must be over; returns what went wrong. */
     List<String> play() {
-        world.time().runUntil(LAST_TROUBLE_S + LONGEST_TROUBLE_S + QUIET_S - 80);
+        double over = meetings == null ? LAST_TROUBLE_S + LONGEST_TROUBLE_S : meetings.overS();
+        world.time().runUntil(meetings == null ? over + QUIET_S - 80 : over);
         world.users().polls().trouble();
-        world.time().runUntil(LAST_TROUBLE_S + LONGEST_TROUBLE_S + QUIET_S);
+        world.time().runUntil(over + QUIET_S);
         liveness.watch();
         List<String> wrong = new ArrayList<>(liveness.findings());
         wrong.addAll(world.rules().broken());
@@ -103,9 +133,36 @@
         if (rolls && !(world.state().value("q/level") instanceof Map<?, ?> level && level.get("level").equals(2L))) {
             wrong.add("all have the new build, and the level is " + world.state().value("q/level"));
         }
+        if (meetings != null) {
+            wrong.addAll(unserved());
+            if (!wrong.isEmpty()) {
+                wrong.addAll(meetings.story());
+            }
+        }
         return wrong;
     }
 
+    /** The classes of which less than half was served, in all or of the largest, or of which the largest began late. */
+    private List<String> unserved() {
+        List<String> unserved = new ArrayList<>();
+        world.around().served().largest(world.around().now()).forEach((name, parts) -> parts.forEach(part -> {
+            if (part.servedShare() < 0.5 || part.inTimeShare() < 0.5) {
+                unserved.add("largest of " + name + ": " + part);
+            }
+        }));
+        world.around().served().classes(world.around().now()).forEach((name, served) -> {
+            if (served.startedShare() < 0.5) {
+                unserved.add("class " + name + ": " + served);
+            }
+        });
+        world.around().served().teams(world.around().now()).forEach((name, served) -> {
+            if (served.startedShare() < 0.5) {
+                unserved.add("team " + name + ": " + served);
+            }
+        });
+        return unserved;
+    }
+
     private void trouble() {
         int node = random.nextInt(world.nodeCount());
         double length = 3 + random.nextDouble() * (LONGEST_TROUBLE_S - 3);
@@ -132,7 +189,7 @@
             case 8 -> world.cloud().outage(length);
             case 9 -> machines.stream().filter(each -> random.nextInt(4) == 0)
                     .forEach(each -> world.cloud().take(each, 3 + random.nextDouble() * 15));
-            case 10 -> cutZone(node % world.site().zones().size(), length, lose);
+            case 10 -> new Cuts(world).zone(node % world.site().zones().size(), length, lose);
             case 11 -> machines.forEach(each -> world.cut(Site.nodeName(random.nextInt(world.nodeCount())), each.text(),
                     3 + random.nextDouble() * 5, random.nextBoolean()));
             case 12 -> world.cloud().take(machine, 0);
@@ -159,19 +216,4 @@
         world.users().submitMistaken(job);
         world.time().at(world.time().seconds() + 20 + random.nextDouble() * 60, () -> world.users().cancel(job.id()));
     }
-
-    /** Cuts a zone off from everything outside: its machines and controllers still hear one another. */
-    private void cutZone(int zone, double length, boolean lose) {
-        String name = world.site().zones().get(zone);
-        List<String> inside = new ArrayList<>();
-        List<String> outside = new ArrayList<>(List.of("state", "cloud", "users"));
-        Predicate<String> isInside = name::equals;
-        for (int i = 0; i < world.nodeCount(); i++) {
-            (isInside.test(world.site().zones().get(i % world.site().zones().size())) ? inside : outside).add(Site.nodeName(i));
-        }
-        for (Worker worker : world.cloud().workers()) {
-            (isInside.test(worker.machine().zone()) ? inside : outside).add(worker.machine().id().text());
-        }
-        inside.forEach(in -> outside.forEach(out -> world.cut(in, out, length, lose)));
-    }
 }
--- a/src/test/java/org/quincecross/emulator/SeedsTest.java
+++ b/src/test/java/org/quincecross/emulator/SeedsTest.java
@@ -37,6 +37,12 @@
                 .copies(share).machines(1.0 / 6, machines).controllers(controllers)));
     }
 
+    /** Troubles that meet on purpose. */
+    @Test
+    void everyDayOfMeetingsKeepsTheRulesAndNothingHangs() {
+        play(Day::ofMeetings);
+    }
+
     private static void play(LongFunction<Day> day) {
         String[] range = System.getProperty("seeds", "20000-24999").split("-");
         Map<Long, Object> wrong = new ConcurrentSkipListMap<>();
--- a/src/test/java/org/quincecross/emulator/WholeServiceTest.java
+++ b/src/test/java/org/quincecross/emulator/WholeServiceTest.java
@@ -22,6 +22,13 @@
         assertEquals(List.of(), new Day(seed).play());
     }
 
+    /** Troubles that meet on purpose: what is begun in one is not over when the next comes. */
+    @ParameterizedTest
+    @ValueSource(longs = {101, 201})
+    void keepsTheRulesWhenTroublesMeet(long seed) {
+        assertEquals(List.of(), Day.ofMeetings(seed).play());
+    }
+
     /**
      * A holder that alone has lost the state service, while its machines hear nobody else: it does not learn of
      * cancellations, so it must stop answering early enough for the machines' leases to end in time.
