--- a/src/test/java/org/quincecross/emulator/SeedsTest.java
+++ b/src/test/java/org/quincecross/emulator/SeedsTest.java
@@ -55,6 +55,12 @@
         playAll(seed -> new LeaderDay(seed).play());
     }
 
+    /** Troubles that meet on purpose. */
+    @Test
+    void everyDayOfMeetingsKeepsTheRulesAndNothingHangs() {
+        play(Day::ofMeetings);
+    }
+
     private static void play(LongFunction<Day> day) {
         playAll(seed -> day.apply(seed).play());
     }
