--- a/src/main/java/org/quincecross/emulator/StateService.java
+++ b/src/main/java/org/quincecross/emulator/StateService.java
@@ -75,6 +75,8 @@
     private double slowLeastS;
     private double slowMostS;
     private double slowUntil;
+    private int underWay;
+    private int mostUnderWay;
     private Random slowDraws;
     private int keptChanges = KEPT_CHANGES;
 
@@ -113,6 +115,11 @@
         slowDraws = draws;
     }
 
+    /** The most requests that were under way at once while it was slow, those among them that nobody waited for any more. */
+    int mostUnderWay() {
+        return mostUnderWay;
+    }
+
     private boolean isSlow() {
         return clock.seconds() < slowUntil;
     }
@@ -171,6 +178,9 @@
         }
         double there = slowness();
         double before = there * slowDraws.nextDouble();
+        underWay++;
+        mostUnderWay = Math.max(mostUnderWay, underWay);
+        clock.after(there, () -> underWay--);
         clock.after(before, () -> serve(from, request, response -> clock.after(there - before, () -> reply.accept(response))));
     }
 
