--- a/src/main/java/org/quincecross/block/Session.java
+++ b/src/main/java/org/quincecross/block/Session.java
@@ -117,10 +117,11 @@
      * report under way at a time, so the answer to the one before has been executed or will be dropped.
      */
     void take(WorkerReport next, boolean beat, SteadyTime now) {
-        // A session has a lease of its own from when it began, which may have been a moment ago, whatever answer the one before had
-        // last. Guards against docs/incidents/session-without-an-answer.md.
-        if ((report == null || report.session() != next.session() || state == State.LOST) && leaseFrom.isBefore(now)) {
-            leaseFrom = now;
+        if (report == null || report.session() != next.session() || state == State.LOST) {
+            // A session's lease runs from when it began, which nobody has to answer: bounds from before it say nothing of it, though no
+            // answer was ever taken. Guards against docs/incidents/session-without-an-answer.md and lease-of-a-new-session.md.
+            leaseFrom = leaseFrom.isBefore(now) ? now : leaseFrom;
+            provenFrom = provenFrom.isBefore(now) ? now : provenFrom;
         }
         // A worker that has begun anew may come to the session that a command of before was sent to: only a new token ends that.
         if (report != null && report.session() != next.session() && !hasBegunAnew()) {
