--- a/src/test/java/org/quincecross/emulator/Meetings.java
+++ b/src/test/java/org/quincecross/emulator/Meetings.java
@@ -6,6 +6,7 @@
 import java.util.Locale;
 import java.util.Random;
 import java.util.Set;
+import java.util.SplittableRandom;
 import org.quincecross.model.Job;
 import org.quincecross.model.JobId;
 import org.quincecross.model.MachineId;
@@ -41,12 +42,17 @@
     Meetings(World world, long seed, Set<Integer> only) {
         this.world = world;
         this.only = only;
-        double at = FROM_S + 10 * new Random(seed).nextDouble();
+        double at = FROM_S + 10 * source(seed, -2).nextDouble();
         for (; at < UNTIL_S; count++) {
-            Random random = new Random(seed * 1009 + count);
+            Random random = source(seed, count);
             at = meet(random, at, only.isEmpty() || only.contains(count)) + 2 + 8 * random.nextDouble();
         }
-        jobs(new Random(seed * 1009 - 1));
+        jobs(source(seed, -1));
+    }
+
+    /** Mixed, as sources of neighbouring numbers draw alike. */
+    private static Random source(long seed, int number) {
+        return new Random(new SplittableRandom(seed * 1009 + number).nextLong());
     }
 
     /** When the last trouble is over, with what it leaves behind: reports, writes and commands that are still to come. */
