--- a/src/test/java/org/quincecross/emulator/HeldMessagesTest.java
+++ b/src/test/java/org/quincecross/emulator/HeldMessagesTest.java
@@ -21,8 +21,9 @@
                 .machines(1.0 / 6, seed % 4 == 3 ? 2 : 0));
     }
 
+    /** 8 fails where exits are cleared or starts without an answer are forgotten, 9 and 13 where late reports pass for news. */
     @ParameterizedTest
-    @ValueSource(longs = {1, 2, 3, 4})
+    @ValueSource(longs = {2, 8, 9, 13})
     void keepsTheRulesAndFinishesTheWork(long seed) {
         assertEquals(List.of(), day(seed).play());
     }
