--- a/src/main/java/org/quincecross/emulator/Users.java
+++ b/src/main/java/org/quincecross/emulator/Users.java
@@ -262,14 +262,19 @@
         });
     }
 
+    /** Somebody asks for a job to be cancelled, here or by a request of a test's own. */
+    void noteCancel(JobId id) {
+        if (cancelAsked.put(id, true) == null) {
+            around.served().cancelled(id, around.now());
+        }
+    }
+
     void cancel(JobId id) {
         if (!told.containsKey(id)) {
             around.clock().after(1, () -> cancel(id)); // not accepted yet
             return;
         }
-        if (cancelAsked.put(id, true) == null) {
-            around.served().cancelled(id, around.now());
-        }
+        noteCancel(id);
         String before = around.rules().lastTold(id);
         ask(id, "cancel", HttpRequest.post(JobCodec.JOBS + "/" + id + JobCodec.CANCEL, new byte[0]), SUBMIT_TIMEOUT_S, outcome -> {
             if (outcome.status() == 200) {
