What waits for a deaf machine waits until the session is over that a former holder may have commanded in

Cause: each session of a machine has a lease of its own, so a machine that hears nothing and goes from session to session was never called lost, and a new holder's block never settled: what the former holder may have started waited for ever (with one deaf machine of two and reports every 5 s, 120 s and more; now within 37 s at a bound of 20 s and a lease of 10 s). The bound on the former holder's session is kept apart from the bound on the present one. The new test of SessionsUnansweredTest fails without isClearedByTime (never started).

--- a/src/main/java/org/quincecross/block/MachineWatch.java
+++ b/src/main/java/org/quincecross/block/MachineWatch.java
@@ -113,7 +113,7 @@
 
     /**
      * What a newer report says of whether the machine hears, before it is taken. Returns whether it proves that the machine's
-     * lease is over.
+     * lease is over, or that the session is in which a former holder may have commanded.
      */
     boolean reported(Session session, WorkerReport report, boolean beat) {
         SteadyTime now = context.now();
@@ -133,7 +133,8 @@
             return false;
         }
         session.hearing().noneTaken(now);
-        return loseIfOver(session, now);
+        boolean isCleared = context.confirmed() != null && session.isClearedByTime(lease(), context.confirmed());
+        return loseIfOver(session, now) || isCleared;
     }
 
     /** Whether a machine has been deaf for so long that another should take its place, and the others are not deaf as well. */
--- a/src/main/java/org/quincecross/block/Session.java
+++ b/src/main/java/org/quincecross/block/Session.java
@@ -50,6 +50,8 @@
     private SteadyTime leaseFrom;
     /** The same as far as the answers to reports go of which nothing will be proven. */
     private SteadyTime provenFrom;
+    /** When its present session was first shown: that has a lease of its own from before then on. */
+    private SteadyTime shownFrom;
     private final Deafness hearing;
     private boolean cleared;
     private SteadyTime directAfter;
@@ -65,6 +67,7 @@
         this.cacheGb = cacheGb;
         this.leaseFrom = leaseFrom;
         this.provenFrom = leaseFrom;
+        this.shownFrom = now;
         this.hearing = new Deafness(now);
         this.heard = now;
         this.directAfter = now;
@@ -120,8 +123,7 @@
         if (report == null || report.session() != next.session() || state == State.LOST) {
             // A session's lease runs from when it began, which nobody has to answer: bounds from before it say nothing of it, though no
             // answer was ever taken. Guards against docs/incidents/session-without-an-answer.md and lease-of-a-new-session.md.
-            leaseFrom = leaseFrom.isBefore(now) ? now : leaseFrom;
-            provenFrom = provenFrom.isBefore(now) ? now : provenFrom;
+            shownFrom = now;
         }
         // A worker that has begun anew may come to the session that a command of before was sent to: only a new token ends that.
         if (report != null && report.session() != next.session() && !hasBegunAnew()) {
@@ -206,11 +208,28 @@
 
     /** When its lease is over at the latest, if it is not answered again. */
     SteadyTime leaseEnds(Span leaseAtMost) {
-        return leaseFrom.plus(leaseAtMost);
+        return (leaseFrom.isBefore(shownFrom) ? shownFrom : leaseFrom).plus(leaseAtMost);
     }
 
     boolean leaseIsOver(Span leaseAtMost, SteadyTime now) {
-        return now.since(leaseFrom).isMoreThan(leaseAtMost);
+        return leaseEnds(leaseAtMost).isBefore(now);
+    }
+
+    /**
+     * Whether the session is surely over in which a former holder may have commanded, though the machine may be in a later one; true once.
+     * A machine that hears nothing goes from one session to the next and is never lost by {@link #leaseIsOver}, as each has a
+     * lease of its own; what waits for it would wait for ever.
+     *
+     * <p>Proof. Nobody else has answered or commanded it after the first bound on its lease, and of this holder's answers none was taken
+     * before {@link #provenFrom} (to be asked right after {@link #provesNoneTaken}). So the session of that time was over a lease later, and
+     * no former holder knows the number of any that began since.
+     */
+    boolean isClearedByTime(Span leaseAtMost, SteadyTime now) {
+        if (cleared || !leaseFrom.plus(leaseAtMost).isBefore(now)) {
+            return false;
+        }
+        cleared = true;
+        return true;
     }
 
     /** Whether it obeys this holder alone and nothing speaks against giving it work. */
--- a/src/test/java/org/quincecross/block/SessionsUnansweredTest.java
+++ b/src/test/java/org/quincecross/block/SessionsUnansweredTest.java
@@ -10,12 +10,20 @@
 import org.quincecross.model.Attempt;
 import org.quincecross.model.Endpoint;
 import org.quincecross.model.Machine;
+import org.quincecross.model.Incarnation;
 import org.quincecross.model.MachineId;
+import org.quincecross.model.MemberId;
+import org.quincecross.model.Revision;
 import org.quincecross.model.Span;
 import org.quincecross.model.TaskId;
 import org.quincecross.model.TaskSet;
 import org.quincecross.net.HttpOutcome;
 import org.quincecross.state.Keys;
+import org.quincecross.wire.WorkerReport;
+import org.quincecross.rollout.Terms;
+import org.quincecross.rollout.Build;
+import org.quincecross.state.MemberRecord;
+import org.quincecross.state.BlockLease;
 import org.quincecross.wire.Json;
 
 /**
@@ -85,4 +93,31 @@
         pass(9);
         assertEquals(0, holder.machine(MACHINE.id()).tasks(), "its lease is over");
     }
+
+    /**
+     * A new holder has a machine that hears nothing and goes from session to session, each with a lease of its own. What the former holder
+     * may have started waits for it only until the session is surely over that it may have commanded in.
+     */
+    @Test
+    void whatWaitsForADeafMachineDoesNotWaitForEver() {
+        BlockLease former = ledger.blocks().get(BLOCK).with(OTHER);
+        put(Keys.block(BLOCK), former.heldBy(new MemberRecord(new MemberId("n"), new Incarnation(2), "z", Build.BEFORE_LEVELS, Terms.NONE,
+                new Revision(1))).write());
+        holder = new BlockHolder(new Context(), ledger.blocks().get(BLOCK));
+        holder.answer(new WorkerReport(OTHER, 1, 1, holder.lease().token(), null, List.of()));
+        double startedAt = Double.NaN;
+        for (double at = 0; at < 120 && Double.isNaN(startedAt); at += 0.25) {
+            if (at % 5 == 1) {
+                holder.answer(new WorkerReport(MACHINE, 1 + (long) (at / 10), ++order, former.token(), null, List.of()));
+            }
+            if (at % 1 == 0) {
+                holder.answer(new WorkerReport(OTHER, 1, 2 + (long) at, holder.lease().token(), null, List.of()));
+            }
+            clock.advance(0.25);
+            holder.tick();
+            startedAt = holder.machine(OTHER.id()).tasks() > 0 ? at : startedAt;
+        }
+        assertTrue(startedAt > 30, "a former holder goes on for 20 s, and what it has answered for a lease of 10 s: " + startedAt);
+        assertTrue(startedAt < 37, "the next report after that says enough: " + startedAt);
+    }
 }
