--- a/src/test/java/org/quincecross/emulator/SeedsTest.java
+++ b/src/test/java/org/quincecross/emulator/SeedsTest.java
@@ -61,6 +61,12 @@
         play(Day::ofMeetings);
     }
 
+    /** The state service refuses one controller, then everybody, while users cancel and ask. */
+    @Test
+    void everyGapDayKeepsTheRulesAndNothingHangs() {
+        playAll(seed -> new GapDay(seed).play());
+    }
+
     private static void play(LongFunction<Day> day) {
         playAll(seed -> day.apply(seed).play());
     }
