--- a/src/test/java/org/quincecross/emulator/GapTest.java
+++ b/src/test/java/org/quincecross/emulator/GapTest.java
@@ -195,7 +195,7 @@
         assertTheGapWasBridged();
     }
 
-    /** Some of the days that {@link GapSeedsTest} draws; the first three break the rule where the time in the record counts. */
+    /** Some of the days that {@link SeedsTest} plays; the first three break the rule where the time in the record counts. */
     @ParameterizedTest
     @ValueSource(longs = {7, 38, 115, 280})
     void drawnDays(long seed) {
