--- a/src/main/java/org/quincecross/block/MachineWatch.java
+++ b/src/main/java/org/quincecross/block/MachineWatch.java
@@ -133,7 +133,7 @@
             return false;
         }
         session.hearing().noneTaken(now);
-        boolean isCleared = context.confirmed() != null && session.isClearedByTime(lease(), context.confirmed());
+        boolean isCleared = context.confirmed() != null && session.clearByTime(lease(), context.confirmed());
         return loseIfOver(session, now) || isCleared;
     }
 
--- a/src/main/java/org/quincecross/block/Session.java
+++ b/src/main/java/org/quincecross/block/Session.java
@@ -216,7 +216,7 @@
     }
 
     /**
-     * Whether the session is surely over in which a former holder may have commanded, though the machine may be in a later one; true once.
+     * Notes that the session is surely over in which a former holder may have commanded, though the machine may be in a later one; true once.
      * A machine that hears nothing goes from one session to the next and is never lost by {@link #leaseIsOver}, as each has a
      * lease of its own; what waits for it would wait for ever.
      *
@@ -224,7 +224,7 @@
      * before {@link #provenFrom} (to be asked right after {@link #provesNoneTaken}). So the session of that time was over a lease later, and
      * no former holder knows the number of any that began since.
      */
-    boolean isClearedByTime(Span leaseAtMost, SteadyTime now) {
+    boolean clearByTime(Span leaseAtMost, SteadyTime now) {
         if (cleared || !leaseFrom.plus(leaseAtMost).isBefore(now)) {
             return false;
         }
