Room kept for others is lent to what has been given nothing for 60 s; MoreThanRoomTest is no longer red

Cause: a block keeps room for urgent and for large work for as long as such work is about.

Blocks that keep nothing free queue as before.

--- a/src/main/java/org/quincecross/leader/Leader.java
+++ b/src/main/java/org/quincecross/leader/Leader.java
@@ -18,7 +18,6 @@
 import org.quincecross.model.JobPhase;
 import org.quincecross.model.Machine;
 import org.quincecross.model.MachineId;
-import org.quincecross.model.MachineType;
 import org.quincecross.model.MemberId;
 import org.quincecross.model.Rank;
 import org.quincecross.model.Resources;
@@ -91,6 +90,7 @@
     private final BooleanSupplier isWaking;
     private final Books books;
     private final Map<BlockId, Admission.Block> admissionBlocks = new TreeMap<>();
+    private final SeenRoom seenRoom = new SeenRoom();
     private final Set<BlockId> toLookAt = new HashSet<>();
     private final Set<BlockId> stale = new HashSet<>();
     private final Map<MemberId, Boolean> wasFresh = new HashMap<>();
@@ -494,7 +494,8 @@
         admissionBlocks.forEach((id, block) -> {
             if (!leased.contains(id)) {
                 blocks.add(block);
-                reserves.put(id, foresight.of(id, timers.now()));
+                reserves.put(id, foresight.plannedAround(id, timers.now()));
+                block.leaveOver(seenRoom.still(id, timers.now()));
             }
         });
         fleet.unmet(keepers.admit(blocks, reserves, demands.demands(blocks, timers.now())));
@@ -549,11 +550,12 @@
             BlockLease lease = ledger.block(id);
             if (lease == null) {
                 admissionBlocks.remove(id);
+                seenRoom.forget(id);
                 stale.remove(id);
                 writtenAt.remove(id);
                 continue;
             }
-            Admission.Block block = admissionBlock(lease);
+            Admission.Block block = seenRoom.block(lease, ledger.types().get(lease.type()), fresh.of(lease), bounds.value(), timers.now());
             books.eachHeld(id, (job, tasks, open) -> {
                 TaskSet done = completed.get(job.id());
                 block.count(job, open, open - (done == null ? 0 : tasks.common(done)), settings.isIdle(job));
@@ -579,30 +581,6 @@
         return view != null && view.allocation().equals(ledger.allocation(id).version()) ? view.released() : List.of();
     }
 
-    private Admission.Block admissionBlock(BlockLease lease) {
-        MachineType type = ledger.types().get(lease.type());
-        PeerViews.BlockView view = fresh.of(lease);
-        List<Resources> free = new ArrayList<>();
-        List<Resources> soon = new ArrayList<>();
-        Map<String, Admission.ImageRoom> images = new HashMap<>();
-        if (view != null) {
-            for (MachineId machine : lease.machines().keySet()) {
-                PeerReport.MachineState state = view.machines().get(machine);
-                if (state != null && state.open() && !lease.leaving().contains(machine)) {
-                    free.add(state.free());
-                    soon.add(state.free().plus(state.yielding()));
-                    Admission.ImageRoom room = new Admission.ImageRoom(state.free(), state.yielding());
-                    state.images().forEach(image -> images.merge(image, room, Admission.ImageRoom::plus));
-                }
-            }
-        }
-        Resources capacity = type == null ? Resources.NONE : type.capacity().times(free.size());
-        Admission.Block block = new Admission.Block(lease.id(), lease.type(), lease.zone(), lease.spot(), capacity, free, soon,
-                images, bounds.value());
-        block.decline(view == null ? Set.of() : view.declined());
-        return block;
-    }
-
     private Fleet.View fleetView() {
         Map<MachineId, PeerReport.MachineState> states = new HashMap<>();
         Set<MachineId> strays = new HashSet<>();
--- a/src/main/java/org/quincecross/sched/Admission.java
+++ b/src/main/java/org/quincecross/sched/Admission.java
@@ -74,6 +74,8 @@
         private Set<JobId> declined = Set.of();
         private Rank admittedRank;
         private int gangTasks;
+        private int admittedTasks;
+        private List<Resources> leftOver = List.of();
         private int bytes;
         /** What is kept free of it, in this round, for work that goes before all others and does not fit yet. */
         private Resources kept = Resources.NONE;
@@ -135,6 +137,11 @@
             declined = jobs;
         }
 
+        /** Of each machine, the room that nothing of what the block has already has taken for a while. */
+        public void leaveOver(List<Resources> rooms) {
+            leftOver = rooms;
+        }
+
         private void use(Job job, int tasks) {
             Resources more = job.each().times(tasks);
             for (int rank = 0; rank <= job.rank().ordinal(); rank++) {
@@ -277,6 +284,8 @@
     private final KeptRoom reserves;
     private final Map<Alike, List<Resources>> withoutRoom = new HashMap<>();
     private long looks;
+    /** Whether room is gathered in this round for a gang that has waited long, though it has no earlier place. */
+    private boolean gathers;
     /** The highest priority below the very highest of what waits. */
     private Rank highest = Rank.LOW;
 
@@ -322,6 +331,7 @@
         blocks.forEach(block -> block.kept = Resources.NONE);
         blocks.forEach(block -> block.isToStart = false);
         highest = order.stream().map(demand -> demand.job().rank()).filter(rank -> rank != Rank.PRODUCTION).max(Comparator.naturalOrder()).orElse(Rank.LOW);
+        gathers = false;
         List<Unmet> unmet = new ArrayList<>();
         for (Demand demand : order) {
             Map<String, Integer> perZone = new TreeMap<>(demand.perZone());
@@ -341,6 +351,7 @@
     }
 
     private void admit(Job job, int index, Block block) {
+        block.admittedTasks++;
         block.admit(job, index);
         teamUse.merge(job.team(), job.each(), Resources::plus);
         reserves.given(job, block.zone);
@@ -434,7 +445,9 @@
             }
         }
         if (best == null) {
-            if (demand.place() == Place.TURN || demand.place() == Place.BEGINNING) {
+            boolean isNext = reserves.isLent(job) && !gathers; // one at a time: others are to find room meanwhile
+            gathers |= isNext;
+            if (demand.place() == Place.TURN || demand.place() == Place.BEGINNING || isNext) {
                 keepRoomFor(demand, job.tasks());
             }
             return isBad(declines(job, blocks)) ? 0 : job.tasks();
@@ -524,6 +537,9 @@
         if (block.machines == 0 || block.bytes + block.bytesFor(job, tasks) > block.mostBytes) {
             return false;
         }
+        if (reserves.isLent(job) && block.places(job, block.leftOver) - block.admittedTasks >= tasks) {
+            return true; // whatever else waits there already and does not fit yet
+        }
         boolean keepsOut = job.rank() != Rank.PRODUCTION && (block.isToStart || !block.kept.equals(Resources.NONE));
         boolean mayPreempt = demand.isPressed() && !keepsOut; // room that is being gathered is not for what is quicker to take it
         // What room is kept for and runs there already is part of what is used.
--- a/src/main/java/org/quincecross/sched/BlockScheduler.java
+++ b/src/main/java/org/quincecross/sched/BlockScheduler.java
@@ -364,7 +364,7 @@
         }
         Entry best = null;
         for (Entry entry : machine.waiting()) {
-            if (entry != head && !isGang(entry) && !isHeldBack(entry) && entry.isReady(now) && entry.counter() >= head.counter()
+            if (entry != head && !isGang(entry) && !isHeldBack(entry) && entry.isReady(now) && (entry.counter() >= head.counter() || isLent(entry))
                     && mayStartOn(machine, entry) && (best == null || better(machine, entry, best))) {
                 best = entry;
             }
@@ -377,6 +377,11 @@
         return true;
     }
 
+    /** Whether an entry's job has waited so long that it is taken for having been passed as often as any other. */
+    private boolean isLent(Entry entry) {
+        return reserves.stream().anyMatch(reserve -> reserve.lentTo().contains(entry.job().id()));
+    }
+
     /** Urgent work is placed by {@link #startUrgent} alone. */
     private static boolean isHeldBack(Entry entry) {
         return entry.job().rank() == Rank.PRODUCTION;
@@ -416,7 +421,7 @@
             Entry best = null;
             for (Entry entry : neighbour.waiting()) {
                 if (!isGang(entry) && !isHeldBack(entry) && entry.isReady(now) && mayStartOn(asker, entry)
-                        && (head == null || entry.counter() <= head.counter())
+                        && (head == null || entry.counter() <= head.counter() || isLent(entry))
                         && (best == null || better(asker, entry, best))) {
                     best = entry;
                 }
--- a/src/main/java/org/quincecross/sched/KeptRoom.java
+++ b/src/main/java/org/quincecross/sched/KeptRoom.java
@@ -2,10 +2,13 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.quincecross.model.BlockId;
 import org.quincecross.model.Job;
+import org.quincecross.model.JobId;
 import org.quincecross.model.Resources;
 
 /** What blocks keep free, as admission asks for it. */
@@ -15,6 +18,9 @@
     private final Map<String, Map<String, Resources>> ofTeams = new HashMap<>();
     /** For how many tasks of each lane there is kept room in each zone, that was not given to them in this round. */
     private final Map<String, Map<String, Integer>> ofLanes = new HashMap<>();
+    /** Jobs that were given something in this round: they have waited long no more. */
+    private final Set<JobId> given = new HashSet<>();
+    private final Set<JobId> lentTo = new HashSet<>();
 
     KeptRoom(Map<BlockId, List<Reserve>> reserves, Collection<Admission.Block> blocks) {
         this.reserves = reserves;
@@ -22,6 +28,7 @@
         blocks.forEach(block -> zones.put(block.id(), block.zone));
         for (Map.Entry<BlockId, List<Reserve>> ofBlock : reserves.entrySet()) {
             for (Reserve reserve : ofBlock.getValue()) {
+                lentTo.addAll(reserve.lentTo());
                 if (reserve.asked() != null) {
                     ofLanes.computeIfAbsent(reserve.asked().lane(), lane -> new HashMap<>())
                             .merge(zones.getOrDefault(ofBlock.getKey(), ""), reserve.machines(), Integer::sum);
@@ -54,15 +61,22 @@
 
     /** A task of a job was given to a block of a zone. */
     void given(Job job, String zone) {
+        given.add(job.id());
         Map<String, Integer> ofLane = ofLanes.get(job.jobClass());
         if (ofLane != null) {
             ofLane.merge(zone, -1, Integer::sum);
         }
     }
 
-    /** What jobs are told apart by as regards room for requests; null where none is kept. */
+    /** Whether a job has waited so long that it may have kept room: one task of it in a round, or a gang as a whole. */
+    boolean isLent(Job job) {
+        return lentTo.contains(job.id()) && !given.contains(job.id());
+    }
+
+    /** What jobs are told apart by as regards room that is lent, or kept for requests; null where neither is. */
     String apart(Job job) {
-        return ofTeams.isEmpty() ? null : Reserve.mayBorrow(job) + job.jobClass();
+        boolean lent = isLent(job);
+        return ofTeams.isEmpty() ? lent ? "lent" : null : Reserve.mayBorrow(job) + job.jobClass() + lent;
     }
 
     /**
@@ -74,7 +88,7 @@
         Resources kept = null;
         Resources requests = null;
         for (Reserve reserve : reserves.getOrDefault(block, List.of())) {
-            if (!reserve.keepsOut(job, machine)) {
+            if (!reserve.isKeptFrom(job, machine) || reserve.keepsNothing()) {
                 continue;
             }
             if (reserve.purpose() == Reserve.Purpose.REQUESTS) {
--- a/src/main/java/org/quincecross/sched/Reserve.java
+++ b/src/main/java/org/quincecross/sched/Reserve.java
@@ -1,6 +1,8 @@
 package org.quincecross.sched;
 
+import java.util.Set;
 import org.quincecross.model.Job;
+import org.quincecross.model.JobId;
 import org.quincecross.model.Rank;
 import org.quincecross.model.Resources;
 import org.quincecross.model.Shape;
@@ -13,8 +15,9 @@
  *
  * @param machines that have room for {@code each}; of room for requests: for how many tasks, wherever they are
  * @param asked for whom; null but of room for requests
+ * @param lentTo jobs that need not keep out, because they have waited too long; of room for requests none
  */
-public record Reserve(Purpose purpose, Resources each, int machines, For asked) {
+public record Reserve(Purpose purpose, Resources each, int machines, For asked, Set<JobId> lentTo) {
     /** What the room is kept for. */
     public enum Purpose {
         /** Work that needs most of a machine; all smaller work keeps out. */
@@ -34,8 +37,12 @@
     /** What is lent saves within this, and is gone within a second more. */
     private static final Span LENT_SAVES_WITHIN = Span.ofSeconds(1);
 
+    public Reserve(Purpose purpose, Resources each, int machines, For asked) {
+        this(purpose, each, machines, asked, Set.of());
+    }
+
     public Reserve(Purpose purpose, Resources each, int machines) {
-        this(purpose, each, machines, null);
+        this(purpose, each, machines, null, Set.of());
     }
 
     /** Whether a task takes most of a machine. */
@@ -50,12 +57,16 @@
         return job.shape() == Shape.ARRAY && job.rank() != Rank.PRODUCTION && job.saves() && !job.saveTime().isMoreThan(LENT_SAVES_WITHIN);
     }
 
-    /** Whether a job has to keep out of the room, on machines of this capacity. */
+    /** Whether a job has to keep out of the room, on machines of this capacity: not where it is lent to it. */
     public boolean keepsOut(Job job, Resources capacity) {
+        return isKeptFrom(job, capacity) && !lentTo.contains(job.id());
+    }
+
+    /** Whether the room is kept from a job, lent or not. */
+    boolean isKeptFrom(Job job, Resources capacity) {
         return switch (purpose) {
             // Urgent work prefers other room, but does not wait for the sake of work that is less urgent.
-            case LARGE_WORK -> !isLarge(job, capacity) && job.rank() != Rank.PRODUCTION;
-            case URGENT_WORK -> job.rank() != Rank.PRODUCTION && !isLarge(job, capacity);
+            case LARGE_WORK, URGENT_WORK -> !isLarge(job, capacity) && job.rank() != Rank.PRODUCTION;
             case REQUESTS -> !job.jobClass().equals(asked.lane()) && !mayBorrow(job);
         };
     }
@@ -69,6 +80,11 @@
         };
     }
 
+    /** Whether it only says to whom room is lent: such a block is as one that keeps nothing. */
+    boolean keepsNothing() {
+        return purpose != Purpose.REQUESTS && machines == 0;
+    }
+
     /** How much of what is kept a machine has that has so much free: machines, or tasks. */
     int in(Resources free) {
         return purpose == Purpose.REQUESTS ? free.count(each) : each.fitsIn(free) ? 1 : 0;
@@ -76,7 +92,12 @@
 
     /** The same with less to be kept free, for so much of it is lent. */
     public Reserve lent(int tasks) {
-        return new Reserve(purpose, each, Math.max(0, machines - tasks), asked);
+        return new Reserve(purpose, each, Math.max(0, machines - tasks), asked, lentTo);
+    }
+
+    /** The same, but some jobs need not keep out. */
+    public Reserve lentTo(Set<JobId> jobs) {
+        return new Reserve(purpose, each, machines, asked, jobs);
     }
 
     /** What all that is kept comes to. */
--- a/src/main/java/org/quincecross/state/Foresight.java
+++ b/src/main/java/org/quincecross/state/Foresight.java
@@ -4,9 +4,11 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.quincecross.agreed.Withheld;
 import org.quincecross.model.BlockId;
 import org.quincecross.model.Job;
+import org.quincecross.model.JobId;
 import org.quincecross.model.MachineType;
 import org.quincecross.model.Rank;
 import org.quincecross.model.Resources;
@@ -23,6 +25,8 @@
     /** For so many machines, room for one more task of the highest priority is kept. */
     private static final int MACHINES_PER_ROOM = 6;
     private static final Span LOOK_EVERY = Span.ofSeconds(1);
+    /** Of a block that keeps nothing free: what has waited long is to start there too, and not to stand in its queue. */
+    private static final Reserve NOTHING = new Reserve(Reserve.Purpose.LARGE_WORK, Resources.NONE, 0);
 
     private record Kind(String type, boolean spot) {
     }
@@ -34,6 +38,8 @@
     private final Withheld withheld;
     private final Map<Kind, Seen> seen = new HashMap<>();
     private final Map<BlockId, List<Reserve>> reserves = new HashMap<>();
+    private final Map<BlockId, List<Reserve>> plannedAround = new HashMap<>();
+    private final LongWaits waits;
     private Seen urgent;
     private SteadyTime computedAt;
     private RequestRooms requests;
@@ -47,6 +53,7 @@
     public Foresight(Ledger ledger, Withheld withheld) {
         this.ledger = ledger;
         this.withheld = withheld;
+        waits = new LongWaits(ledger);
     }
 
     /** Has room kept for requests, too. */
@@ -54,14 +61,25 @@
         requests = rooms;
     }
 
+    /** What a block keeps free when it starts work. */
     public List<Reserve> of(BlockId block, SteadyTime now) {
+        look(now);
+        return reserves.getOrDefault(block, List.of());
+    }
+
+    /** The same for a plan that gives work to blocks: what has just been given something has waited long no more. */
+    public List<Reserve> plannedAround(BlockId block, SteadyTime now) {
+        look(now);
+        return plannedAround.getOrDefault(block, List.of());
+    }
+
+    private void look(SteadyTime now) {
         // What should be kept free follows what has come in minutes: no need to look at everything at every change.
         boolean others = requests != null && requests.version() != requestsSeen;
         if (computedAt == null || others || now.since(computedAt).isMoreThan(LOOK_EVERY)) {
             compute(now);
             computedAt = now;
         }
-        return reserves.getOrDefault(block, List.of());
     }
 
     /** What a task of the highest priority takes, of those seen lately; nothing if there were none. */
@@ -79,11 +97,14 @@
             }
             if (record.job().rank() == Rank.PRODUCTION) {
                 urgent = new Seen(record.job().each(), now);
+            } else {
+                waits.look(record.id(), now);
             }
             for (MachineType type : ledger.types().values()) {
                 look(record.job(), mayRun, type, waiting, now);
             }
         }
+        waits.lookedAtAll();
         seen.values().removeIf(large -> now.since(large.at()).isMoreThan(REMEMBERED));
         seen.forEach((kind, large) -> share(kind, large, waiting.getOrDefault(kind, 0) + SPARE));
         keepForUrgent(now);
@@ -91,6 +112,25 @@
             requestsSeen = requests.version();
             requests.reserves().forEach((block, list) -> reserves.computeIfAbsent(block, id -> new ArrayList<>()).addAll(list));
         }
+        lend(waits.toPlan(now), waits.toStart(now));
+    }
+
+    /**
+     * Guards against docs/incidents/kept-room-without-an-end.md: what is kept for work that may come, or waits for its team's limit, is lent
+     * to what has waited long. While the cloud has more machines, such work has some rented; at the end of its capacity nothing would
+     * ever start there. Urgent work that comes takes it back at once, as it does from all lower priorities.
+     */
+    private void lend(Set<JobId> toPlan, Set<JobId> toStart) {
+        plannedAround.clear();
+        for (BlockId block : ledger.blocks().keySet()) {
+            List<Reserve> kept = reserves.getOrDefault(block, List.of(NOTHING));
+            plannedAround.put(block, lent(kept, toPlan));
+            reserves.put(block, lent(kept, toStart));
+        }
+    }
+
+    private static List<Reserve> lent(List<Reserve> kept, Set<JobId> jobs) {
+        return kept.stream().map(each -> each.purpose() == Reserve.Purpose.REQUESTS ? each : each.lentTo(jobs)).toList();
     }
 
     private void look(Job job, int tasks, MachineType type, Map<Kind, Integer> waiting, SteadyTime now) {
--- a/src/test/java/org/quincecross/emulator/AgreedDay.java
+++ b/src/test/java/org/quincecross/emulator/AgreedDay.java
@@ -14,6 +14,7 @@
 import org.quincecross.agreed.Withheld;
 import org.quincecross.api.Controller;
 import org.quincecross.http.HttpRequest;
+import org.quincecross.http.HttpResponse;
 import org.quincecross.model.Job;
 import org.quincecross.model.JobId;
 import org.quincecross.model.Revision;
@@ -182,13 +183,16 @@
         }
     }
 
+    /** What a controller answers, asked again after 503 as its page says, for ten seconds at the most. */
     Fields get(int node, String path) throws BadMessage {
-        byte[][] body = new byte[1][];
-        world.ask(node, HttpRequest.get("/admin/agreed" + path), response -> body[0] = response.body());
-        for (int i = 0; i < 10 && body[0] == null; i++) {
+        HttpResponse[] last = new HttpResponse[1];
+        for (int i = 0; i < 10 && (last[0] == null || last[0].status() == 503); i++) {
+            last[0] = null;
+            world.ask(node, HttpRequest.get("/admin/agreed" + path), response -> last[0] = response);
             world.time().runUntil(world.time().seconds() + 1);
         }
-        return Json.parseFields(body[0]);
+        assertEquals(200, last[0].status());
+        return Json.parseFields(last[0].body());
     }
 
     void trouble(int which) {
--- a/src/test/java/org/quincecross/emulator/MoreThanRoomTest.java
+++ b/src/test/java/org/quincecross/emulator/MoreThanRoomTest.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.function.Function;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.quincecross.model.Job;
@@ -26,7 +25,6 @@
  * There is more work than room, urgent and not, the cloud has no more machines, and all links are slow at first. When they are not any
  * more, nothing waits for 90 s beside room, and the largest begins within 240 s. Three controllers, 18 machines, virtual time.
  */
-@Tag("known-red")
 class MoreThanRoomTest {
     private static final int MACHINES = 18;
     private static final double OVER_S = 60;
@@ -55,8 +53,10 @@
 
     @ParameterizedTest
     @CsvSource({"SERVICES, 1, false", "SERVICES, 2, true", "SERVICES, 3, false", "LARGE, 1, false", "LARGE, 2, true", "LARGE, 3, false",
-        "LARGE_AT_ITS_LIMIT, 1, false", "GANGS, 1, false", "GANGS, 2, true", "GANGS, 3, false", "ALL, 1, false",
-        "ALL, 3, false"})
+        "LARGE_AT_ITS_LIMIT, 1, false", "LARGE_AT_ITS_LIMIT, 2, true", "LARGE_AT_ITS_LIMIT, 3, false", "GANGS, 1, false",
+        "GANGS, 2, true", "GANGS, 3, false", "ALL, 1, false", "ALL, 1, true", "ALL, 2, false", "ALL, 2, true", "ALL, 3, false",
+        "ALL, 3, true", "ALL, 4, false", "ALL, 4, true", "ALL, 5, false", "ALL, 5, true", "ALL, 6, false", "ALL, 6, true",
+        "LARGE_AT_ITS_LIMIT, 5, false", "GANGS, 4, true", "GANGS, 5, true", "SERVICES, 7, false"})
     void nothingWaitsBesideRoomForLong(Mix mix, long seed, boolean overload) {
         Features features = overload ? new Features(Shares.DEFAULTS, null, Build.BEFORE_LEVELS) : Features.NONE;
         Site site = Site.tryOut(MACHINES, true).with(Map.of("web", team("web", 48), "batch", team("batch", 1000),
