--- a/src/test/java/org/quincecross/net/HttpServerTest.java
+++ b/src/test/java/org/quincecross/net/HttpServerTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetSocketAddress;
@@ -12,10 +13,13 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.quincecross.http.HttpResponse;
 import org.quincecross.model.Endpoint;
 
@@ -28,6 +32,7 @@
     private final Loop loop = new Loop();
     private final List<Socket> sockets = new ArrayList<>();
     private final List<Consumer<HttpResponse>> held = new CopyOnWriteArrayList<>();
+    private final AtomicInteger handed = new AtomicInteger();
     private InetSocketAddress address;
     private Thread thread;
 
@@ -39,6 +44,7 @@
         }
         address = new InetSocketAddress("127.0.0.1", port);
         new HttpServer(loop, new Endpoint("127.0.0.1", port), MOST, (request, reply) -> {
+            handed.addAndGet(request.method().equals("POST") && request.path().equals("/v2/runs") ? 1 : 0);
             if (request.path().equals("/held")) {
                 held.add(reply);
             } else {
@@ -87,6 +93,32 @@
         }
     }
 
+    /** A body that is too large, by its length or chunk by chunk, or that is cut off: nobody is handed a request, the connection ends, and others are served. */
+    @ParameterizedTest
+    @CsvSource({"65537, 0, false, 413", "70000, 70000, false, 413", "20000, 3000, false, 0", "100, 0, false, 0", "70000, 70000, true, 413", "20000, 20000, true, 0"})
+    void aBodyTooLargeOrCutOff(int length, int sent, boolean chunked, int status) throws IOException {
+        Socket socket = connect();
+        String head = "POST /v2/runs HTTP/1.1\r\nHost: x\r\n" + (chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "Content-Length: " + length + "\r\n\r\n");
+        ByteArrayOutputStream request = new ByteArrayOutputStream();
+        request.write(head.getBytes(StandardCharsets.US_ASCII));
+        for (int at = 0; at < sent; at += 5000) {
+            int part = Math.min(5000, sent - at);
+            request.write((chunked ? Integer.toHexString(part) + "\r\n" : "").getBytes(StandardCharsets.US_ASCII));
+            request.write(" ".repeat(part).getBytes(StandardCharsets.US_ASCII));
+            request.write((chunked ? "\r\n" : "").getBytes(StandardCharsets.US_ASCII));
+        }
+        try {
+            socket.getOutputStream().write(request.toByteArray());
+            socket.shutdownOutput();
+        } catch (IOException e) {
+            assertEquals(413, status, "ended while it was sent");
+        }
+        assertTrue(List.of(status, 0).contains(ask(socket, new byte[0])));
+        assertEquals(0, ask(socket, UP), "the connection goes on");
+        assertEquals(0, handed.get());
+        assertEquals(200, ask(connect(), UP));
+    }
+
     /** Twice as many workers as there are sockets reconnect at once, beside idle users: each report is answered, and so is /up. */
     @Test
     void idleConnectionsMakeWayForReportsAndHealthChecks() throws IOException {
