HttpServerTest: the first form of the body test could not fail; it can now

Now it reads what was answered, and a body of just 64 KiB has to be served. Guards taken out and seen to fail: the limit (the two bodies sent whole), the length of a body (the one cut off).

--- a/src/test/java/org/quincecross/net/HttpServerTest.java
+++ b/src/test/java/org/quincecross/net/HttpServerTest.java
@@ -78,10 +78,12 @@
         return socket;
     }
 
-    /** The status that a request is answered with; 0 where the connection ends without one. */
+    /** The status that a request, or what was sent before, is answered with; 0 where the connection ends without one. */
     private static int ask(Socket socket, byte[] request) {
         try {
-            socket.getOutputStream().write(request);
+            if (request.length > 0) {
+                socket.getOutputStream().write(request);
+            }
             InputStream in = socket.getInputStream();
             byte[] head = in.readNBytes(12);
             while (head.length == 12 && in.available() > 0) {
@@ -93,9 +95,9 @@
         }
     }
 
-    /** A body that is too large, by its length or chunk by chunk, or that is cut off: nobody is handed a request, the connection ends, and others are served. */
+    /** A body that is too large, by its length or chunk by chunk, or that is cut off: nobody is handed a request, the connection ends, others are served. */
     @ParameterizedTest
-    @CsvSource({"65537, 0, false, 413", "70000, 70000, false, 413", "20000, 3000, false, 0", "100, 0, false, 0", "70000, 70000, true, 413", "20000, 20000, true, 0"})
+    @CsvSource({"65537, 0, false, 413", "70000, 70000, false, 413", "20000, 3000, false, 0", "100, 0, false, 0", "70000, 70000, true, 413", "20000, 20000, true, 0", "65536, 65536, false, 200"})
     void aBodyTooLargeOrCutOff(int length, int sent, boolean chunked, int status) throws IOException {
         Socket socket = connect();
         String head = "POST /v2/runs HTTP/1.1\r\nHost: x\r\n" + (chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "Content-Length: " + length + "\r\n\r\n");
@@ -107,15 +109,17 @@
             request.write(" ".repeat(part).getBytes(StandardCharsets.US_ASCII));
             request.write((chunked ? "\r\n" : "").getBytes(StandardCharsets.US_ASCII));
         }
+        request.write((chunked && status == 413 ? "0\r\n\r\n" : "").getBytes(StandardCharsets.US_ASCII));
         try {
             socket.getOutputStream().write(request.toByteArray());
             socket.shutdownOutput();
         } catch (IOException e) {
             assertEquals(413, status, "ended while it was sent");
         }
-        assertTrue(List.of(status, 0).contains(ask(socket, new byte[0])));
-        assertEquals(0, ask(socket, UP), "the connection goes on");
-        assertEquals(0, handed.get());
+        int answered = ask(socket, new byte[0]);
+        assertTrue(answered == status || answered == 0, answered + " is answered"); // what is in flight when a connection ends may be lost
+        assertEquals(0, ask(socket, new byte[0]), "the connection goes on");
+        assertEquals(status == 200 ? 1 : 0, handed.get());
         assertEquals(200, ask(connect(), UP));
     }
 
