--- a/src/main/java/org/quincecross/leader/Demands.java
+++ b/src/main/java/org/quincecross/leader/Demands.java
@@ -24,6 +24,7 @@
 import org.quincecross.overload.Overload;
 import org.quincecross.overload.Verdict;
 import org.quincecross.sched.Admission;
+import org.quincecross.sched.JobDemand;
 import org.quincecross.state.JobRecord;
 import org.quincecross.state.Ledger;
 import org.quincecross.wire.Settings;
@@ -105,8 +106,8 @@
     }
 
     /** All that waits; of a job that has its turn for some of its tasks, these first. */
-    List<Admission.Demand> demands(Collection<Admission.Block> blocks, SteadyTime now) {
-        List<Admission.Demand> demands = new ArrayList<>();
+    List<JobDemand> demands(Collection<Admission.Block> blocks, SteadyTime now) {
+        List<JobDemand> demands = new ArrayList<>();
         List<Waiting> waiting = waiting(blocks, now);
         if (overload == null) {
             for (Waiting each : waiting) {
@@ -131,9 +132,9 @@
                         .with(begin.getOrDefault(each.record.id(), 0), Admission.Place.BEGINNING).forEach(demands::add);
                 continue;
             }
-            Admission.Demand all = demand(each, verdict.dueS(),
+            JobDemand all = demand(each, verdict.dueS(),
                     verdict.standing() == Verdict.Standing.SET_ASIDE ? Admission.Place.SET_ASIDE : Admission.Place.IN_ORDER, verdict.order());
-            for (Admission.Demand part : all.with(begin.getOrDefault(each.record.id(), 0), Admission.Place.BEGINNING)) {
+            for (JobDemand part : all.with(begin.getOrDefault(each.record.id(), 0), Admission.Place.BEGINNING)) {
                 demands.addAll(part.with(verdict.turn(), Admission.Place.TURN));
             }
         }
@@ -194,13 +195,13 @@
         return waiting;
     }
 
-    private Admission.Demand inOrder(Waiting each, double dueS) {
+    private JobDemand inOrder(Waiting each, double dueS) {
         return demand(each, dueS, Admission.Place.IN_ORDER, Verdict.byDue(dueS));
     }
 
-    private Admission.Demand demand(Waiting each, double dueS, Admission.Place place, double order) {
+    private JobDemand demand(Waiting each, double dueS, Admission.Place place, double order) {
         Job job = each.account.job();
-        return new Admission.Demand(job, each.record.version(), dueS, each.guaranteed, isHurried(job), each.pool,
+        return new JobDemand(job, each.record.version(), dueS, each.guaranteed, isHurried(job), each.pool,
                 each.account.perZone(), place, order);
     }
 
--- a/src/main/java/org/quincecross/leader/Keepers.java
+++ b/src/main/java/org/quincecross/leader/Keepers.java
@@ -9,6 +9,7 @@
 import org.quincecross.model.Team;
 import org.quincecross.peer.PeerReport;
 import org.quincecross.sched.Admission;
+import org.quincecross.sched.JobDemand;
 import org.quincecross.sched.Reserve;
 
 /** The parts that have a say in what a leader allocates, where they are switched on; without them a plan is admission's alone. */
@@ -39,7 +40,7 @@
     }
 
     /** Admits what can be admitted; returns what machines are to be rented for. */
-    List<Admission.Unmet> admit(List<Admission.Block> blocks, Map<BlockId, List<Reserve>> reserves, List<Admission.Demand> waiting) {
+    List<Admission.Unmet> admit(List<Admission.Block> blocks, Map<BlockId, List<Reserve>> reserves, List<JobDemand> waiting) {
         List<Admission.Unmet> unmet = models == null ? new Admission(blocks, teams.get(), teamUse.get(), reserves).run(waiting)
                 : models.admit(blocks, reserves, waiting);
         return requests == null ? unmet : requests.with(unmet);
--- a/src/main/java/org/quincecross/leader/ModelAdmission.java
+++ b/src/main/java/org/quincecross/leader/ModelAdmission.java
@@ -21,6 +21,7 @@
 import org.quincecross.peer.ModelFleet;
 import org.quincecross.peer.PeerReport;
 import org.quincecross.sched.Admission;
+import org.quincecross.sched.JobDemand;
 import org.quincecross.sched.Reserve;
 import org.quincecross.state.BlockLease;
 import org.quincecross.state.Ledger;
@@ -54,15 +55,15 @@
      * Admits what waits: replicas of models each to the block of its place, the rest as ever. Limits, zones and preemption hold for both;
      * what there was no room for is returned.
      */
-    List<Admission.Unmet> admit(Collection<Admission.Block> blocks, Map<BlockId, List<Reserve>> reserves, List<Admission.Demand> demands) {
+    List<Admission.Unmet> admit(Collection<Admission.Block> blocks, Map<BlockId, List<Reserve>> reserves, List<JobDemand> demands) {
         Map<String, Team> limits = teams.get();
         Map<String, Resources> use = new HashMap<>(books.teamUse());
-        List<Admission.Demand> others = new ArrayList<>();
-        List<Admission.Demand> placed = new ArrayList<>();
+        List<JobDemand> others = new ArrayList<>();
+        List<JobDemand> placed = new ArrayList<>();
         demands.forEach(each -> (records.nameOf(each.job().id()) == null ? others : placed).add(each));
         placed.stream().filter(each -> each.job().rank() == Rank.PRODUCTION).forEach(each -> admit(each, blocks, limits, use, reserves));
         List<Admission.Unmet> all = new ArrayList<>(new Admission(blocks, limits, use, reserves).run(others));
-        List<Admission.Demand> last = placed.stream().filter(each -> each.job().rank() != Rank.PRODUCTION).toList();
+        List<JobDemand> last = placed.stream().filter(each -> each.job().rank() != Rank.PRODUCTION).toList();
         if (!last.isEmpty()) {
             addAdmitted(blocks, use);
             last.forEach(each -> admit(each, blocks, limits, use, reserves));
@@ -79,7 +80,7 @@
         }));
     }
 
-    private void admit(Admission.Demand demand, Collection<Admission.Block> blocks, Map<String, Team> limits, Map<String, Resources> use,
+    private void admit(JobDemand demand, Collection<Admission.Block> blocks, Map<String, Team> limits, Map<String, Resources> use,
             Map<BlockId, List<Reserve>> reserves) {
         Job job = demand.job();
         Model model = records.of(job.id());
@@ -95,7 +96,7 @@
             TaskSet pool = pools.get(block.id());
             if (pool != null) {
                 int before = count(block, job.id());
-                new Admission(List.of(block), limits, use, reserves).run(List.of(new Admission.Demand(job, demand.accepted(), demand.dueS(),
+                new Admission(List.of(block), limits, use, reserves).run(List.of(new JobDemand(job, demand.accepted(), demand.dueS(),
                         demand.guaranteed(), false, pool, demand.perZone(), Admission.Place.TURN, demand.order())));
                 use.merge(job.team(), job.each().times(count(block, job.id()) - before), Resources::plus);
             }
--- a/src/main/java/org/quincecross/leader/ModelKeeper.java
+++ b/src/main/java/org/quincecross/leader/ModelKeeper.java
@@ -35,6 +35,7 @@
 import org.quincecross.peer.PeerReport;
 import org.quincecross.peer.PeerViews;
 import org.quincecross.sched.Admission;
+import org.quincecross.sched.JobDemand;
 import org.quincecross.sched.Reserve;
 import org.quincecross.state.AgreedBook;
 import org.quincecross.state.AgreedStore;
@@ -410,7 +411,7 @@
     }
 
     /** Looks at the models and admits what waits; returns what there was no room for, with the replicas for which no machine has room. */
-    List<Admission.Unmet> admit(Collection<Admission.Block> blocks, Map<BlockId, List<Reserve>> reserves, List<Admission.Demand> demands) {
+    List<Admission.Unmet> admit(Collection<Admission.Block> blocks, Map<BlockId, List<Reserve>> reserves, List<JobDemand> demands) {
         look();
         List<Admission.Unmet> all = admission.admit(blocks, reserves, demands);
         all.addAll(unmet);
--- a/src/main/java/org/quincecross/sched/Admission.java
+++ b/src/main/java/org/quincecross/sched/Admission.java
@@ -16,7 +16,6 @@
 import org.quincecross.model.JobId;
 import org.quincecross.model.Rank;
 import org.quincecross.model.Resources;
-import org.quincecross.model.Revision;
 import org.quincecross.model.Shape;
 import org.quincecross.model.TaskSet;
 import org.quincecross.model.Team;
@@ -39,9 +38,6 @@
     /** What a job's item in the record of a block's tasks takes beside its id and its tasks. */
     private static final int ITEM_BYTES = 6;
 
-    /** A job with less time to spare than this is pressed. */
-    private static final double PRESSED_S = 12;
-
     /** The room on machines that have an image: what is free, and what urgent work could have in a moment. */
     public record ImageRoom(Resources free, Resources yielding) {
         public ImageRoom plus(ImageRoom other) {
@@ -235,45 +231,6 @@
         SET_ASIDE
     }
 
-    /**
-     * An open job with tasks in the pool.
-     *
-     * @param dueS seconds until it should be over; below 0, what is late already
-     * @param hurried whether a fetch of its image would make it late
-     * @param perZone how many of its tasks are in each zone
-     * @param place where it stands beside others of its priority
-     * @param order less is earlier, among those of its place
-     */
-    public record Demand(Job job, Revision accepted, double dueS, boolean guaranteed, boolean hurried, TaskSet pool,
-            Map<String, Integer> perZone, Place place, double order) {
-
-        /** The same with as many of its tasks in an earlier place: as two, or as it is or whole where none or all of them are. */
-        public List<Demand> with(int tasks, Place earlier) {
-            if (tasks <= 0 || place == Place.BEGINNING) {
-                return List.of(this);
-            }
-            double first = earlier == Place.BEGINNING ? 0 : order; // the oldest first
-            // Where the place of one task may change where the next may go, the job stays in one piece.
-            if (tasks >= pool.size() || job.spread() || job.oneZone()) {
-                return List.of(new Demand(job, accepted, dueS, guaranteed, hurried, pool, perZone, earlier, first));
-            }
-            TaskSet rest = pool.copy();
-            TaskSet some = new TaskSet();
-            for (int index = pool.next(0); some.size() < tasks; index = pool.next(index + 1)) {
-                some.add(index);
-                rest.remove(index);
-            }
-            return List.of(new Demand(job, accepted, dueS, guaranteed, hurried, some, perZone, earlier, first),
-                    new Demand(job, accepted, dueS, guaranteed, hurried, rest, perZone, place, order));
-        }
-
-        /** Whether others are to make room for it: it must start at once, or it will be late. */
-        boolean isPressed() {
-            double run = job.estimate().seconds();
-            return job.rank() == Rank.PRODUCTION || dueS < run + Math.max(PRESSED_S, 0.4 * run);
-        }
-    }
-
     /** Tasks of a job for which there was no block. */
     public record Unmet(Job job, int tasks, Map<String, Integer> perZone) {
     }
@@ -316,24 +273,24 @@
     }
 
     /** Admits what can be admitted, the most urgent first; returns what there was no block for. */
-    public List<Unmet> run(List<Demand> demands) {
-        List<Demand> order = new ArrayList<>(demands);
+    public List<Unmet> run(List<JobDemand> demands) {
+        List<JobDemand> order = new ArrayList<>(demands);
         order.sort(Comparator
-                .comparing((Demand demand) -> demand.job().rank() != Rank.PRODUCTION)
+                .comparing((JobDemand demand) -> demand.job().rank() != Rank.PRODUCTION)
                 .thenComparing(demand -> demand.place() != Place.BEGINNING)
                 .thenComparing(demand -> demand.place() != Place.BEGINNING && !demand.guaranteed())
                 .thenComparing(demand -> demand.place() != Place.TURN)
                 .thenComparing(demand -> demand.place() == Place.BEGINNING ? Rank.PRODUCTION : demand.job().rank(), Comparator.reverseOrder())
-                .thenComparing(Demand::place)
-                .thenComparing(Demand::order)
-                .thenComparing(Demand::accepted)
+                .thenComparing(JobDemand::place)
+                .thenComparing(JobDemand::order)
+                .thenComparing(JobDemand::accepted)
                 .thenComparing(demand -> demand.job().id()));
         blocks.forEach(block -> block.kept = Resources.NONE);
         blocks.forEach(block -> block.isToStart = false);
         highest = order.stream().map(demand -> demand.job().rank()).filter(rank -> rank != Rank.PRODUCTION).max(Comparator.naturalOrder()).orElse(Rank.LOW);
         gathers = false;
         List<Unmet> unmet = new ArrayList<>();
-        for (Demand demand : order) {
+        for (JobDemand demand : order) {
             Map<String, Integer> perZone = new TreeMap<>(demand.perZone());
             int left = demand.job().shape() == Shape.GANG ? admitGang(demand) : admitTasks(demand, perZone);
             if (left > 0) {
@@ -366,7 +323,7 @@
      * block once for a job, and then for each task only at those whose order may have changed; at none where a job
      * like this one that asks for no more has found no room before.
      */
-    private int admitTasks(Demand demand, Map<String, Integer> perZone) {
+    private int admitTasks(JobDemand demand, Map<String, Integer> perZone) {
         Job job = demand.job();
         int left = Math.min(demand.pool().size(), withinLimit(job));
         if (left == 0) {
@@ -409,7 +366,7 @@
         return 0;
     }
 
-    private PriorityQueue<Choice> choices(Demand demand, Map<String, Integer> perZone) {
+    private PriorityQueue<Choice> choices(JobDemand demand, Map<String, Integer> perZone) {
         PriorityQueue<Choice> choices = new PriorityQueue<>();
         Job job = demand.job();
         for (Block block : blocks) {
@@ -423,7 +380,7 @@
     }
 
     /** A gang goes to one block as a whole. */
-    private int admitGang(Demand demand) {
+    private int admitGang(JobDemand demand) {
         Job job = demand.job();
         if (demand.pool().size() < job.tasks()) {
             return 0; // some of it is still out there
@@ -465,7 +422,7 @@
      * from all but the highest priority until it fits. It is the one whose arrays leave the most room when they end, and that is used
      * least: the next plan chooses it again. What its team's limit allows is kept for it with that.
      */
-    private void keepRoomFor(Demand demand, int tasks) {
+    private void keepRoomFor(JobDemand demand, int tasks) {
         Job job = demand.job();
         Block best = null;
         for (Block block : blocks) {
@@ -528,11 +485,11 @@
     }
 
     /** Whether in a block's queue work of a higher priority would pass it again and again, though it is to begin. */
-    private boolean goesBehind(Demand demand) {
+    private boolean goesBehind(JobDemand demand) {
         return demand.place() == Place.BEGINNING && highest.isAbove(demand.job().rank());
     }
 
-    private boolean hasRoom(Demand demand, int tasks, Block block) {
+    private boolean hasRoom(JobDemand demand, int tasks, Block block) {
         Job job = demand.job();
         if (block.machines == 0 || block.bytes + block.bytesFor(job, tasks) > block.mostBytes) {
             return false;
--- a/src/main/java/org/quincecross/sched/Choice.java
+++ b/src/main/java/org/quincecross/sched/Choice.java
@@ -13,7 +13,7 @@
     private final double unused;
 
     /** @param kept for how many tasks of its lane the zone keeps room: evenly used, the last job finds it in all of them */
-    Choice(Admission.Block block, Admission.Demand demand, boolean entersReserve, int inZone, int kept) {
+    Choice(Admission.Block block, JobDemand demand, boolean entersReserve, int inZone, int kept) {
         this.block = block;
         this.kept = kept;
         this.inZone = inZone;
@@ -52,7 +52,7 @@
     }
 
     /** Which of the blocks that have room for a gang it goes to. */
-    static Comparator<Admission.Block> gangOrder(Admission.Demand demand) {
+    static Comparator<Admission.Block> gangOrder(JobDemand demand) {
         Job job = demand.job();
         return Comparator.comparing((Admission.Block block) -> -Math.min(job.tasks(), block.placesNow(job)))
                 .thenComparing(block -> -Math.min(job.tasks(), block.placesSoon(job)))
--- a/src/test/java/org/quincecross/overload/BeginningsTest.java
+++ b/src/test/java/org/quincecross/overload/BeginningsTest.java
@@ -24,6 +24,7 @@
 import org.quincecross.model.TaskSet;
 import org.quincecross.model.Team;
 import org.quincecross.sched.Admission;
+import org.quincecross.sched.JobDemand;
 
 /** The order of admission over minutes, with far more work than room: nobody whose limit allows it waits past the bound. */
 class BeginningsTest {
@@ -102,10 +103,10 @@
             }
         }
         Map<JobId, Integer> begin = beginnings.look(waiting, 30);
-        List<Admission.Demand> demands = new ArrayList<>();
+        List<JobDemand> demands = new ArrayList<>();
         for (Beginnings.Waiting each : waiting) {
             Play play = jobs.get(each.id());
-            demands.addAll(new Admission.Demand(play.job, each.accepted(), 3600, false, false, play.pool.copy(), Map.of(), Admission.Place.IN_ORDER,
+            demands.addAll(new JobDemand(play.job, each.accepted(), 3600, false, false, play.pool.copy(), Map.of(), Admission.Place.IN_ORDER,
                     play.job.size()).with(begin.getOrDefault(each.id(), 0), Admission.Place.BEGINNING));
         }
         new Admission(blocks, teams, use, Map.of()).run(demands);
--- a/src/test/java/org/quincecross/sched/AdmissionTest.java
+++ b/src/test/java/org/quincecross/sched/AdmissionTest.java
@@ -52,7 +52,7 @@
                 blocks.add(new Admission.Block(id, "m", zone, spot, new Resources(16, 0, 64), List.of(new Resources(8, 0, 32), new Resources(8, 0, 32)), List.of(), Map.of(), 4000));
             }
         }
-        List<Admission.Demand> demands = new ArrayList<>();
+        List<JobDemand> demands = new ArrayList<>();
         Map<JobId, Job> byId = new HashMap<>();
         for (Job job : jobs) {
             if (byId.put(job.id(), job) == null) {
@@ -60,7 +60,7 @@
                 for (int i = 0; i < job.tasks(); i++) {
                     all.add(i);
                 }
-                demands.add(new Admission.Demand(job, new Revision(1), 100, false, job.tasks() % 2 == 0, all, Map.of(), Admission.Place.IN_ORDER, 100));
+                demands.add(new JobDemand(job, new Revision(1), 100, false, job.tasks() % 2 == 0, all, Map.of(), Admission.Place.IN_ORDER, 100));
             }
         }
         byId.clear();
@@ -127,7 +127,7 @@
 
     private static List<Admission.Unmet> admit(Job job, List<Admission.Block> blocks) {
         return new Admission(blocks, Map.of("t", TEAM), Map.of(), Map.of()).run(List.of(
-                new Admission.Demand(job, new Revision(1), 100, false, false, TaskSet.below(1), Map.of(), Admission.Place.IN_ORDER, 100)));
+                new JobDemand(job, new Revision(1), 100, false, false, TaskSet.below(1), Map.of(), Admission.Place.IN_ORDER, 100)));
     }
 
     /** A block full of work that nobody expects is free for all that somebody does, but not for more of its own kind. */
@@ -139,7 +139,7 @@
                         List.of(new Resources(0, 0, 0), new Resources(0, 0, 0)), List.of(), Map.of(), 4000);
                 block.count(array(1, Rank.LOW, 8), 8, 8, idle);
                 Job job = array(2, rank, 4);
-                new Admission(List.of(block), Map.of("t", TEAM), Map.of(), Map.of()).run(List.of(new Admission.Demand(job, new Revision(1),
+                new Admission(List.of(block), Map.of("t", TEAM), Map.of(), Map.of()).run(List.of(new JobDemand(job, new Revision(1),
                         500, false, false, TaskSet.below(4), Map.of(), Admission.Place.IN_ORDER, 500)));
                 int admitted = block.admitted().containsKey(job.id()) ? block.admitted().get(job.id()).size() : 0;
                 assertEquals(idle && rank == Rank.NORMAL ? 4 : 1, admitted, rank + " beside idle work: " + idle);
--- a/src/test/java/org/quincecross/sched/KeptRoomTest.java
+++ b/src/test/java/org/quincecross/sched/KeptRoomTest.java
@@ -43,9 +43,9 @@
     /** How many tasks of each of some jobs are admitted, the first ones first. */
     private List<Integer> admitted(Job... jobs) {
         Reserve kept = new Reserve(Reserve.Purpose.REQUESTS, new Resources(2, 0, 2), 6, new Reserve.For("front", "web"));
-        List<Admission.Demand> demands = new java.util.ArrayList<>();
+        List<JobDemand> demands = new java.util.ArrayList<>();
         for (Job job : jobs) {
-            demands.add(new Admission.Demand(job, new Revision(demands.size()), 99, false, false, TaskSet.below(job.tasks()), Map.of(), Admission.Place.IN_ORDER,
+            demands.add(new JobDemand(job, new Revision(demands.size()), 99, false, false, TaskSet.below(job.tasks()), Map.of(), Admission.Place.IN_ORDER,
                     demands.size()));
         }
         new Admission(List.of(block), Map.of("web", web, "other", other), use, Map.of(BLOCK, List.of(kept))).run(demands);
