What has waited as long as it may need not keep out of kept room

Cause: what is lent of kept room counts as used, and the room is still kept; work that goes before all others found none beside both.

Change: KeptRoom.from passes over what is kept for large and urgent work where a demand has its beginning due. Before kept room was lent it found room beside it.

BeginningsCasesTest, OverloadCasesTest: all pass.

--- a/src/main/java/org/quincecross/sched/Admission.java
+++ b/src/main/java/org/quincecross/sched/Admission.java
@@ -500,7 +500,8 @@
         boolean keepsOut = job.rank() != Rank.PRODUCTION && (block.isToStart || !block.kept.equals(Resources.NONE));
         boolean mayPreempt = demand.isPressed() && !keepsOut; // room that is being gathered is not for what is quicker to take it
         // What room is kept for and runs there already is part of what is used.
-        Resources reserved = reserves.from(job, block.id, block.machine, mayPreempt ? Resources.NONE : block.lent);
+        Resources reserved = reserves.from(job, block.id, block.machine, mayPreempt ? Resources.NONE : block.lent,
+                demand.place() == Place.BEGINNING);
         Resources capacity = job.shape() == Shape.ARRAY && reserved == null && !keepsOut && !goesBehind(demand)
                 ? block.capacity.plus(block.capacity.minus(block.standing).most(Resources.NONE).times(QUEUE_AHEAD)) : block.capacity;
         Resources kept = (keepsOut ? block.kept : Resources.NONE).plus(reserved == null ? Resources.NONE : reserved);
--- a/src/main/java/org/quincecross/sched/KeptRoom.java
+++ b/src/main/java/org/quincecross/sched/KeptRoom.java
@@ -83,14 +83,20 @@
      * What a job leaves free in a block; null where nothing is kept from it.
      *
      * @param lent what is used there by work that may borrow room that is kept for requests: it stands in that room first
+     * @param begins whether it goes before others because it has waited as long as it may: it need not keep out, for what is lent to others counts as
+     *        used, and beside it and the kept room there would be none left for it
      */
-    Resources from(Job job, BlockId block, Resources machine, Resources lent) {
+    Resources from(Job job, BlockId block, Resources machine, Resources lent, boolean begins) {
         Resources kept = null;
         Resources requests = null;
         for (Reserve reserve : reserves.getOrDefault(block, List.of())) {
             if (!reserve.isKeptFrom(job, machine) || reserve.keepsNothing()) {
                 continue;
             }
+            if (begins && reserve.purpose() != Reserve.Purpose.REQUESTS) {
+                kept = kept == null ? Resources.NONE : kept; // it is to start, and not to wait in a queue
+                continue;
+            }
             if (reserve.purpose() == Reserve.Purpose.REQUESTS) {
                 requests = requests == null ? reserve.total() : requests.plus(reserve.total());
             } else {
--- a/src/test/java/org/quincecross/emulator/MoreThanRoomTest.java
+++ b/src/test/java/org/quincecross/emulator/MoreThanRoomTest.java
@@ -56,7 +56,7 @@
         "LARGE_AT_ITS_LIMIT, 1, false", "LARGE_AT_ITS_LIMIT, 2, true", "LARGE_AT_ITS_LIMIT, 3, false", "GANGS, 1, false",
         "GANGS, 2, true", "GANGS, 3, false", "ALL, 1, false", "ALL, 1, true", "ALL, 2, false", "ALL, 2, true", "ALL, 3, false",
         "ALL, 3, true", "ALL, 4, false", "ALL, 4, true", "ALL, 5, false", "ALL, 5, true", "ALL, 6, false", "ALL, 6, true",
-        "LARGE_AT_ITS_LIMIT, 5, false", "GANGS, 4, true", "GANGS, 5, true", "SERVICES, 7, false"})
+        "LARGE_AT_ITS_LIMIT, 5, false", "GANGS, 4, true", "GANGS, 5, true", "SERVICES, 7, false", "ALL, 7, true"})
     void nothingWaitsBesideRoomForLong(Mix mix, long seed, boolean overload) {
         Features features = overload ? new Features(Shares.DEFAULTS, null, Build.BEFORE_LEVELS) : Features.NONE;
         Site site = Site.tryOut(MACHINES, true).with(Map.of("web", team("web", 48), "batch", team("batch", 1000),
