Allocations: the leader writes no text that a build cannot read

Cause: an allocation names the tasks of a job in a shard as one text of ranges. The leader limited the record, to the size of a value (8 KiB); the reader took it for a string as users send them and refused more than 4,096 characters. When machines hang, what is left of an array is scattered and the text long. All controllers read the same record, so none was left to replace it.

Change: the reader takes a text as long as a value may be. The leader keeps to 4,096 characters, since earlier builds share the records: completed tasks between others stay in the record, so that ranges join (StoredTasks); admission counts the length of the text per job; of released tasks that leave too many gaps some leave later. A delta, and the rewriting before a lower level, are checked the same way.

Why it works: completed tasks are ignored by all readers, and with those between the unfinished ones the text is no longer than the one in the record; what is admitted is bounded by what is left of the text.

--- a/src/main/java/org/quincecross/leader/AllocationPlanner.java
+++ b/src/main/java/org/quincecross/leader/AllocationPlanner.java
@@ -30,9 +30,12 @@
 final class AllocationPlanner {
   private static final TimeSpan MAX_BATCHING_DELAY = TimeSpan.ofSeconds(2);
 
-  /** A shard whose record contains this many completed tasks is worth rewriting. */
+  /** A shard whose record would lose this many completed tasks is worth rewriting. */
   private static final int MAX_COMPLETED_IN_RECORD = 60;
 
+  /** From this length on, the text of a job's tasks is measured rather than bounded. */
+  private static final int LONG_TEXT = TaskSet.MAX_STORED_TEXT_LENGTH / 2;
+
   private final LeaderContext context;
   private final Autoscaler autoscaler;
   private final PendingDemand pendingDemand;
@@ -198,6 +201,7 @@
             context.currentViews().of(lease),
             limits.maxValueBytes(),
             context.timers().now());
+    int[] keptCompleted = new int[1];
     context
         .allocationIndex()
         .forEachUnfinished(
@@ -206,15 +210,29 @@
               TaskSet done = completed.get(job.id());
               int completing = done == null ? 0 : tasks.intersectionSize(done);
               shard.count(job, open, open - completing, context.settings().isBestEffort(job));
+              if (TaskSet.maxTextLength(job.taskCount(), open) > LONG_TEXT) {
+                TaskSet stored = storedTasks(job.id(), tasks);
+                shard.setTextLength(job.id(), stored.textLength());
+                keptCompleted[0] += stored.size() - open;
+              }
             });
     admissionShards.put(lease.id(), shard);
-    if (context.allocationIndex().completedButAllocated(lease.id()) > MAX_COMPLETED_IN_RECORD) {
+    int removable = context.allocationIndex().completedButAllocated(lease.id()) - keptCompleted[0];
+    if (removable > MAX_COMPLETED_IN_RECORD) {
       staleShards.add(lease.id());
     } else {
       staleShards.remove(lease.id());
     }
   }
 
+  /** The tasks that a record would name to keep a job's unfinished tasks. */
+  private TaskSet storedTasks(JobId job, TaskSet recorded) {
+    TaskSet completed = context.allocationIndex().get(job).completed();
+    TaskSet unfinished = recorded.copy();
+    unfinished.removeAll(completed);
+    return StoredTasks.of(recorded, completed, TaskSet.MAX_STORED_TEXT_LENGTH).shortest(unfinished);
+  }
+
   /**
    * The tasks that a shard's owner releases from the present allocation: a late report must not
    * remove tasks that were allocated again since. They count until the allocation without them is
--- a/src/main/java/org/quincecross/leader/AllocationWriter.java
+++ b/src/main/java/org/quincecross/leader/AllocationWriter.java
@@ -25,6 +25,9 @@
  * Nothing is admitted to such a shard, and tasks that its owner releases are removed by a delta,
  * which names only unfinished tasks, until the allocation fits and is written in full again. Below
  * level 2 released tasks wait for that.
+ *
+ * <p>No text is written that a build cannot read ({@link StoredTasks}): a single one would keep all
+ * controllers out (docs/incidents/unreadable-allocation.md).
  */
 final class AllocationWriter {
   /** A delta larger than this share of the full record is not worth keeping beside it. */
@@ -45,9 +48,10 @@
   }
 
   /** Adds the write to a transaction; false if there is no room for it. */
-  boolean put(TransactionBuilder transaction, ShardId id, Map<JobId, TaskSet> next) {
+  boolean put(TransactionBuilder transaction, ShardId id, Map<JobId, TaskSet> wanted) {
+    Map<JobId, TaskSet> next = tasksToWrite(id, wanted);
     int bytes = Json.write(Allocation.write(next)).length;
-    boolean isTooLarge = bytes > transaction.maxValueBytes();
+    boolean isTooLarge = bytes > transaction.maxValueBytes() || !isReadable(id, next);
     Allocation fullRecord = cache.wholeAllocation(id);
     if ((isTooLarge || !fullRecordsOnly.getAsBoolean())
         && Feature.ALLOCATION_CHANGES.isEnabledAt(cache.level().level())
@@ -55,7 +59,8 @@
       Map<String, Object> change =
           AllocationDelta.write(
               fullRecord, isTooLarge ? withTerminatedTasks(fullRecord, next) : next);
-      if (isTooLarge || Json.write(change).length < MAX_DELTA_SHARE * bytes) {
+      if (AllocationDelta.isReadableByAll(change)
+          && (isTooLarge || Json.write(change).length < MAX_DELTA_SHARE * bytes)) {
         return transaction.put(
             StoreKeys.allocationDelta(id),
             change,
@@ -65,6 +70,42 @@
     return putFullRecord(transaction, id, next);
   }
 
+  /** The tasks of each job as they are written, with texts that every build reads. */
+  private Map<JobId, TaskSet> tasksToWrite(ShardId id, Map<JobId, TaskSet> wanted) {
+    Map<JobId, TaskSet> next = new LinkedHashMap<>();
+    Map<JobId, TaskSet> recorded = cache.allocation(id).tasks();
+    wanted.forEach(
+        (job, tasks) ->
+            next.put(
+                job,
+                StoredTasks.isShort(tasks)
+                    ? tasks
+                    : StoredTasks.of(
+                            recorded.getOrDefault(job, new TaskSet()),
+                            cache.completedTasks(job),
+                            maxTextLength(id, job))
+                        .toWrite(tasks)));
+    return next;
+  }
+
+  /**
+   * The maximum length of the text of a job's tasks in a full record. A text that an earlier build
+   * wrote too long may be replaced by one that is no longer: no other build can read the present
+   * one either.
+   */
+  private int maxTextLength(ShardId id, JobId job) {
+    TaskSet recorded = cache.wholeAllocation(id).tasks().get(job);
+    return Math.max(TaskSet.MAX_STORED_TEXT_LENGTH, recorded == null ? 0 : recorded.textLength());
+  }
+
+  private boolean isReadable(ShardId id, Map<JobId, TaskSet> tasks) {
+    return tasks.entrySet().stream()
+        .allMatch(
+            entry ->
+                StoredTasks.isShort(entry.getValue())
+                    || entry.getValue().textLength() <= maxTextLength(id, entry.getKey()));
+  }
+
   /**
    * Adds the terminated tasks of the full record to an allocation. Readers ignore them, and naming
    * all of them as removed would soon exceed a value.
@@ -91,8 +132,16 @@
     return with;
   }
 
-  /** Writes a full record, which every level can read. */
-  boolean putFullRecord(TransactionBuilder transaction, ShardId id, Map<JobId, TaskSet> next) {
+  /** Writes the present allocation as a full record, which every level can read. */
+  boolean putFullRecord(TransactionBuilder transaction, ShardId id) {
+    return putFullRecord(transaction, id, tasksToWrite(id, cache.allocation(id).tasks()));
+  }
+
+  private boolean putFullRecord(
+      TransactionBuilder transaction, ShardId id, Map<JobId, TaskSet> next) {
+    if (!isReadable(id, next)) {
+      return false;
+    }
     String changeKey = StoreKeys.allocationDelta(id);
     Map<String, Object> fullRecord = Allocation.write(next);
     boolean hasChange = cache.version(changeKey).value() != 0;
--- a/src/main/java/org/quincecross/leader/SchedulingPlanner.java
+++ b/src/main/java/org/quincecross/leader/SchedulingPlanner.java
@@ -89,7 +89,7 @@
       if (transaction.remaining() < 2) {
         return true;
       }
-      allocationWriter.putFullRecord(transaction, id, context.cache().allocation(id).tasks());
+      allocationWriter.putFullRecord(transaction, id);
     }
     return false;
   }
--- a/src/main/java/org/quincecross/model/TaskSet.java
+++ b/src/main/java/org/quincecross/model/TaskSet.java
@@ -8,6 +8,12 @@
  * operation, allocate nothing.
  */
 public final class TaskSet {
+  /**
+   * The longest text of a set in a stored record. Earlier builds refuse longer ones, and a
+   * controller that cannot read a record takes no part.
+   */
+  public static final int MAX_STORED_TEXT_LENGTH = 4096;
+
   private static final int BITS = 64;
   private static final long[] NONE = new long[0];
 
@@ -124,6 +130,34 @@
     return fewer;
   }
 
+  /**
+   * Returns a copy in which the gaps between members are closed that consist of members of another
+   * set alone. Its text is the shorter for each of them.
+   */
+  public TaskSet withGapsClosedBy(TaskSet others) {
+    TaskSet closed = copy();
+    int first = nextMember(0);
+    while (first >= 0) {
+      int gap = after(first);
+      int next = nextMember(gap);
+      if (next >= 0 && others.after(gap) >= next) {
+        closed.addRange(gap, next);
+      }
+      first = next;
+    }
+    return closed;
+  }
+
+  /** Returns the members that are also in another set. */
+  public TaskSet intersection(TaskSet other) {
+    TaskSet common = copy();
+    for (int i = 0; i < words.length; i++) {
+      common.words[i] &= i < other.words.length ? other.words[i] : 0;
+    }
+    common.size = intersectionSize(other);
+    return common;
+  }
+
   /** The number of members. */
   public int size() {
     return size;
--- a/src/main/java/org/quincecross/protocol/JsonFields.java
+++ b/src/main/java/org/quincecross/protocol/JsonFields.java
@@ -88,6 +88,14 @@
     throw malformed(name, "is not a string of fair length");
   }
 
+  /** A required string of any length, in a record whose size the store limits. */
+  public String stringOfAnyLength(String name) throws MalformedMessageException {
+    if (requireAll(name) instanceof String text) {
+      return text;
+    }
+    throw malformed(name, "is not a string");
+  }
+
   /** A string, or a default if absent. */
   public String stringOr(String name, String otherwise) throws MalformedMessageException {
     return has(name) ? string(name) : otherwise;
--- a/src/main/java/org/quincecross/scheduling/Admission.java
+++ b/src/main/java/org/quincecross/scheduling/Admission.java
@@ -83,6 +83,10 @@
 
     private Set<JobId> declined = Set.of();
     private Priority highestAdmittedPriority;
+
+    /** The length of the text of a job's tasks in the allocation record. */
+    private final Map<JobId, Integer> textLengths = new HashMap<>();
+
     private int gangTasks;
     private int admittedTasks;
     private List<Resources> stableCapacity = List.of();
@@ -155,12 +159,33 @@
      */
     public void count(Job job, int recorded, int running, boolean bestEffort) {
       bytes += bytesFor(job, recorded);
+      textLengths.put(job.id(), TaskSet.maxTextLength(job.taskCount(), recorded));
       use(job, running);
       if (bestEffort) {
         bestEffortUse = bestEffortUse.plus(job.taskResources().times(running));
       }
     }
 
+    /**
+     * Sets the length of the text of a counted job's tasks; without it, the longest is assumed that
+     * so many tasks may have.
+     */
+    public void setTextLength(JobId job, int length) {
+      textLengths.put(job, length);
+    }
+
+    /**
+     * Whether the text of a job's tasks stays short enough to be stored with so many more. A gang
+     * comes and goes as a whole, which is one range.
+     */
+    private boolean hasTextRoom(Job job, int tasks) {
+      if (job.kind() == JobKind.GANG) {
+        return true;
+      }
+      return textLengths.getOrDefault(job.id(), 0) + TaskSet.maxTextLength(job.taskCount(), tasks)
+          <= TaskSet.MAX_STORED_TEXT_LENGTH;
+    }
+
     /** Marks jobs that have failed on every machine of the shard. */
     public void decline(Set<JobId> jobs) {
       declined = jobs;
@@ -251,6 +276,7 @@
       }
       set.add(index);
       bytes += bytesFor(job, 1) - bytesFor(job, 0);
+      textLengths.merge(job.id(), TaskSet.maxTextLength(job.taskCount(), 1), Integer::sum);
       use(job, 1);
       images.computeIfPresent(
           job.image(),
@@ -641,7 +667,9 @@
 
   private boolean hasRoom(JobDemand demand, int tasks, ShardCapacity shard) {
     Job job = demand.job();
-    if (shard.machines == 0 || shard.bytes + shard.bytesFor(job, tasks) > shard.maxBytes) {
+    if (shard.machines == 0
+        || shard.bytes + shard.bytesFor(job, tasks) > shard.maxBytes
+        || !shard.hasTextRoom(job, tasks)) {
       return false;
     }
     if (headroom.isLent(job)
--- a/src/main/java/org/quincecross/state/AllocationDelta.java
+++ b/src/main/java/org/quincecross/state/AllocationDelta.java
@@ -2,6 +2,7 @@
 
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.stream.Stream;
 import org.quincecross.model.JobId;
 import org.quincecross.model.Revision;
 import org.quincecross.model.TaskSet;
@@ -45,6 +46,12 @@
         TaskSetCodec.write(fewer));
   }
 
+  /** Whether every build can read a delta that {@link #write} has written. */
+  public static boolean isReadableByAll(Map<String, Object> delta) {
+    return Stream.of("more", "fewer")
+        .allMatch(field -> TaskSetCodec.isReadableByAll(delta.get(field)));
+  }
+
   private static void putDifference(
       Map<JobId, TaskSet> into, JobId job, TaskSet tasks, TaskSet without) {
     TaskSet left = tasks.copy();
--- a/src/main/java/org/quincecross/state/TaskSetCodec.java
+++ b/src/main/java/org/quincecross/state/TaskSetCodec.java
@@ -19,7 +19,9 @@
     Map<JobId, TaskSet> sets = new LinkedHashMap<>();
     for (String digits : in.fieldNames()) {
       JobId job = JobId.parseDigits(digits);
-      TaskSet set = TaskSet.parse(in.string(digits), JobCodec.MAX_TASKS);
+      // As long as a value may be: a text that a writer stores and a reader refuses would keep all
+      // controllers out (docs/incidents/unreadable-allocation.md).
+      TaskSet set = TaskSet.parse(in.stringOfAnyLength(digits), JobCodec.MAX_TASKS);
       if (job == null || set == null) {
         throw new MalformedMessageException("bad tasks in a record");
       }
@@ -38,4 +40,11 @@
         });
     return out;
   }
+
+  /** Whether every build can read tasks that {@link #write} has written. */
+  static boolean isReadableByAll(Object written) {
+    return written instanceof Map<?, ?> texts
+        && texts.values().stream()
+            .allMatch(text -> text.toString().length() <= TaskSet.MAX_STORED_TEXT_LENGTH);
+  }
 }
--- a/src/test/java/org/quincecross/scheduling/AdmissionTest.java
+++ b/src/test/java/org/quincecross/scheduling/AdmissionTest.java
@@ -257,6 +257,53 @@
     }
   }
 
+  /**
+   * A shard gets no more tasks of a job than every build can read in its record, however they come
+   * to be scattered; with the present text measured, there is room for more
+   * (docs/incidents/unreadable-allocation.md).
+   */
+  @Example
+  void textOfAJobStaysShortEnoughToBeRead() {
+    Job job = array(1, Priority.LOW, 9_999);
+    int withoutRoomInText = TaskSet.MAX_STORED_TEXT_LENGTH / 5;
+    for (boolean measured : new boolean[] {true, false}) {
+      Admission.ShardCapacity shard =
+          new Admission.ShardCapacity(
+              new ShardId("b"),
+              "m",
+              "a",
+              true,
+              new Resources(1e6, 0, 1e6),
+              List.of(new Resources(1e6, 0, 1e6)),
+              List.of(),
+              Map.of(),
+              60_000);
+      shard.count(job, 400, 400, false);
+      if (measured) {
+        shard.setTextLength(job.id(), 96);
+      }
+      TaskSet pool = TaskSet.range(9_999);
+      pool.removeAll(TaskSet.range(400));
+      Team unlimited = new Team("t", new Resources(1e6, 0, 1e6), new Resources(1e6, 0, 1e6));
+      new Admission(List.of(shard), Map.of("t", unlimited), Map.of(), Map.of())
+          .run(
+              List.of(
+                  new JobDemand(
+                      job,
+                      new Revision(1),
+                      500,
+                      false,
+                      false,
+                      pool,
+                      Map.of(),
+                      Admission.Place.BY_PRIORITY,
+                      500)));
+      assertEquals(
+          measured ? (TaskSet.MAX_STORED_TEXT_LENGTH - 96) / 5 : withoutRoomInText - 400,
+          shard.admitted().get(job.id()).size());
+    }
+  }
+
   private static Job array(int number, Priority priority, int tasks) {
     return Job.builder(new JobId("job-" + number))
         .jobClass("c")
