Agents keep the exits of starts that may be repeated

Cause: a machine refuses a start by a higher token, another session, or the attempt itself. The owner kept an exited attempt on the machine only while its start had no answer; after an answer the exit was cleared and the attempt forgotten, while token and session stay the same for as long as the owner does.

Change: a session remembers the direct starts of the attempts that its machine has, until a higher token or a new session. Their exits are not cleared meanwhile, those of completed tasks excepted, whose result the machine keeps (a start of it "exits with done as soon as it has its image"). Over 100 kept exits ask for a new token, as before for unanswered starts, and until then starts go in responses alone. Tasks of an agent that has restarted count as running there until the shard has a new token: it has forgotten the attempts, and a copy would run them.

Why it works: while the attempt is on the machine a copy does nothing; when it is cleared, the machine has shown a higher token or another session and refuses the copy. Starts in responses to heartbeats cannot be repeated.

The simulated agent keeps results of completed tasks, as the protocol says; before it ran them again. Simulated clusters can repeat commands that were executed.

--- a/src/main/java/org/quincecross/emulator/AgentSimulator.java
+++ b/src/main/java/org/quincecross/emulator/AgentSimulator.java
@@ -2,9 +2,11 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.quincecross.http.HttpRequest;
 import org.quincecross.http.HttpResponse;
@@ -64,6 +66,10 @@
   private ImageStore images;
   private ProcessScope process = new ProcessScope();
   private final Map<TaskAttempt, Task> tasks = new LinkedHashMap<>();
+
+  /** Completed tasks, whose results the worker keeps: started again, they end at once. */
+  private final Set<TaskId> results = new HashSet<>();
+
   private long session = 1;
   private long reportNumber;
   private long token;
@@ -153,6 +159,7 @@
   }
 
   private void dropAllTasks() {
+    results.clear();
     environment.coldStarts().lost(machine.id());
     Map<TaskAttempt, Task> lost = Map.copyOf(tasks);
     for (Map.Entry<TaskAttempt, Task> entry : lost.entrySet()) {
@@ -451,6 +458,10 @@
     task.onImageReady =
         () -> {
           if (process.isAlive() && tasks.get(key) == task && task.state.equals("pulling")) {
+            if (results.contains(key.task())) {
+              exit(key, task, "done");
+              return;
+            }
             environment.invariants().taskArrived(key.task(), machine);
             scheduleReport(0.5);
             if (job.kind() == JobKind.GANG) {
@@ -600,6 +611,7 @@
     TaskAttempt key = new TaskAttempt(id, attempt);
     Task task = tasks.get(key);
     if (task != null && !task.isOver()) {
+      results.add(id);
       exit(key, task, "done");
       environment.invariants().completed(id);
     }
--- a/src/main/java/org/quincecross/emulator/DuplicatedMessages.java
+++ b/src/main/java/org/quincecross/emulator/DuplicatedMessages.java
@@ -8,12 +8,14 @@
 import org.quincecross.model.Endpoint;
 
 /**
- * Duplicates some of the reports of machines: the copies arrive seconds to several leases later, or
- * just after the next leader takes over.
+ * Duplicates some of the reports of machines, or of the commands that are sent to them directly:
+ * the copies arrive seconds to several leases later, or just after the next leader takes over.
  */
 final class DuplicatedMessages {
   static final DuplicatedMessages NONE =
-      new DuplicatedMessages(0, 0, List.of(), new Random(0), null);
+      new DuplicatedMessages("", 0, 0, List.of(), new Random(0), null);
+  private static final String REPORTS = "/agent/beat";
+  private static final String COMMANDS = "/orders";
   private static final double MIN_DELAY_S = 1;
   private static final double LEADER_CHECK_INTERVAL_S = 0.05;
 
@@ -33,6 +35,7 @@
     void send(double seconds, Endpoint there);
   }
 
+  private final String path;
   private final double share;
   private final double latestS;
   private final List<Endpoint> nodes;
@@ -46,11 +49,13 @@
   private Object leaderBefore;
 
   private DuplicatedMessages(
+      String path,
       double share,
       double latestS,
       List<Endpoint> nodes,
       Random random,
       Supplier<Object> leadership) {
+    this.path = path;
     this.share = share;
     this.latestS = latestS;
     this.nodes = nodes;
@@ -67,7 +72,17 @@
    */
   static DuplicatedMessages delayed(
       double share, double latestS, List<Endpoint> nodes, Random random) {
-    return new DuplicatedMessages(share, latestS, nodes, random, null);
+    return new DuplicatedMessages(REPORTS, share, latestS, nodes, random, null);
+  }
+
+  /**
+   * Copies of commands that were executed; each arrives at the machine that the command went to.
+   *
+   * @param share of the commands, 0 to 1
+   * @param latestS copies arrive between 1 s and this much later
+   */
+  static DuplicatedMessages delayedCommands(double share, double latestS, Random random) {
+    return new DuplicatedMessages(COMMANDS, share, latestS, List.of(), random, null);
   }
 
   /**
@@ -78,16 +93,17 @@
    */
   static DuplicatedMessages forNextLeader(
       double share, List<Endpoint> nodes, Random random, Supplier<Object> leadership) {
-    return new DuplicatedMessages(share, 0, nodes, random, leadership);
+    return new DuplicatedMessages(REPORTS, share, 0, nodes, random, leadership);
   }
 
   /** Schedules copies of a request, if it is drawn. */
   void maybeDuplicate(HttpRequest request, Endpoint to, Clock clock, DelayedSender sender) {
-    if (share == 0 || !request.path().equals("/agent/beat") || random.nextDouble() >= share) {
+    if (share == 0 || !request.path().equals(path) || random.nextDouble() >= share) {
       return;
     }
     if (leadership == null) {
-      Endpoint target = random.nextInt(3) == 0 ? nodes.get(random.nextInt(nodes.size())) : to;
+      Endpoint target =
+          !nodes.isEmpty() && random.nextInt(3) == 0 ? nodes.get(random.nextInt(nodes.size())) : to;
       sender.send(MIN_DELAY_S + random.nextDouble() * (latestS - MIN_DELAY_S), target);
       return;
     }
--- a/src/main/java/org/quincecross/emulator/SimulatedCluster.java
+++ b/src/main/java/org/quincecross/emulator/SimulatedCluster.java
@@ -490,6 +490,18 @@
                 share, 3 * spec.workers().lease().seconds(), nodes, draws));
   }
 
+  /**
+   * From now on a share of all commands that machines have executed arrives there a second time, 1
+   * s to three leases later.
+   */
+  void duplicateCommands(double share, Random draws) {
+    network.duplicateCommands(
+        share == 0
+            ? DuplicatedMessages.NONE
+            : DuplicatedMessages.delayedCommands(
+                share, 3 * spec.workers().lease().seconds(), draws));
+  }
+
   /**
    * From now on copies of a share of all reports are kept until there is a new leader, and then
    * arrive at every controller.
--- a/src/main/java/org/quincecross/emulator/VirtualNetwork.java
+++ b/src/main/java/org/quincecross/emulator/VirtualNetwork.java
@@ -33,6 +33,7 @@
 
   private MessageObserver observer = MessageObserver.NONE;
   private DuplicatedMessages duplicates = DuplicatedMessages.NONE;
+  private DuplicatedMessages commandDuplicates = DuplicatedMessages.NONE;
   private DelayedMessages delays = DelayedMessages.NONE;
 
   VirtualNetwork(VirtualTime time, Random random) {
@@ -83,6 +84,11 @@
     duplicates = late;
   }
 
+  /** From now on some commands that machines have executed arrive there a second time, later. */
+  void duplicateCommands(DuplicatedMessages late) {
+    commandDuplicates = late;
+  }
+
   /** From now on some messages between controllers and machines are delayed. */
   void delayMessages(DelayedMessages messages) {
     delays = messages;
@@ -247,6 +253,12 @@
           // receive it.
           if (host.isUp() && host.process() == process) {
             establishedConnections.put(link, process);
+            commandDuplicates.maybeDuplicate(
+                request,
+                to,
+                time,
+                (late, machine) ->
+                    time.after(late, () -> deliverCommandCopy(host, process, from, request)));
             host.request(
                 from,
                 request,
@@ -267,6 +279,13 @@
     time.after(timeout.seconds(), () -> once.accept(HttpOutcome.failed(true)));
   }
 
+  /** A machine that has restarted since has no means to tell a copy from a new command. */
+  private void deliverCommandCopy(Host host, Object process, String from, HttpRequest request) {
+    if (host.isUp() && host.process() == process) {
+      host.request(from, request, response -> {});
+    }
+  }
+
   private void deliverCopy(String from, Endpoint at, HttpRequest request) {
     Host host = hosts.get(at);
     if (host != null && host.isUp()) {
--- a/src/main/java/org/quincecross/shard/AgentCommandSender.java
+++ b/src/main/java/org/quincecross/shard/AgentCommandSender.java
@@ -32,9 +32,9 @@
  *
  * <p>Each direct command waits for its response, {@link #COMMAND_TIMEOUT} at most. A command
  * without a response is not retried by itself: its content is repeated in the response to the
- * agent's next heartbeat, or after {@link #COMMAND_RETRY_DELAY}. That it may still be executed is
- * remembered per attempt by {@link AgentSession} until the agent has shown a higher token or a new
- * session.
+ * agent's next heartbeat, or after {@link #COMMAND_RETRY_DELAY}. That it may still be executed, or
+ * executed again if it was answered, is remembered per attempt by {@link AgentSession} until the
+ * agent has shown a higher token or a new session.
  */
 final class AgentCommandSender {
   private static final Logger LOG = LoggerFactory.getLogger(AgentCommandSender.class);
@@ -79,7 +79,7 @@
                     && placement.state() == Placement.State.COMPLETED
                     && placement.machine().equals(machine)
                     && placement.attempt().equals(status.attempt()));
-        if (!keep && !session.mayStillBeStarted(status.attempt())) {
+        if (!keep && !session.mustKeepExit(status)) {
           commands.add(AgentCommand.forget(status.task(), status.attempt()));
         }
       } else if (!ours) {
@@ -100,6 +100,14 @@
     return commands.size() > MAX_COMMANDS ? commands.subList(0, MAX_COMMANDS) : commands;
   }
 
+  /** The pending commands that may be sent directly. */
+  private List<AgentCommand> pendingDirectCommands(AgentSession session) {
+    List<AgentCommand> commands = pendingCommands(session);
+    return session.keepsManyExits()
+        ? commands.stream().filter(each -> each.verb() != AgentCommand.Verb.START).toList()
+        : commands;
+  }
+
   /** Whether the agent may get a response, which renews its lease. */
   boolean mayRespond(AgentSession session) {
     return unacknowledgedResponses.mayRespond(session);
@@ -149,7 +157,7 @@
       if (session != null
           && session.state() == AgentSession.State.FENCED
           && session.canSendDirect(now)) {
-        List<AgentCommand> commands = pendingCommands(session);
+        List<AgentCommand> commands = pendingDirectCommands(session);
         if (!commands.isEmpty()) {
           markSent(commands);
           sendDirect(session, commands);
--- a/src/main/java/org/quincecross/shard/AgentSession.java
+++ b/src/main/java/org/quincecross/shard/AgentSession.java
@@ -42,6 +42,9 @@
 
   private static final long MAX_SESSION_GAP = 2;
 
+  /** More exits that cannot be cleared make heartbeats long. */
+  private static final int MAX_KEPT_EXITS = 100;
+
   private final Machine machine;
   private final Resources capacity;
   private final double cacheGb;
@@ -49,6 +52,10 @@
   private final Set<String> imagePulled = new HashSet<>();
   private final Map<Attempt, TaskId> startsInFlight = new HashMap<>();
   private final Map<Attempt, TaskId> unansweredStarts = new HashMap<>();
+
+  /** Direct starts of attempts that the machine has; a copy of the request may arrive later. */
+  private final Map<Attempt, TaskId> answeredStarts = new HashMap<>();
+
   private final Set<Attempt> startsInResponse = new HashSet<>();
   private final StaleHeartbeatFilter staleFilter = new StaleHeartbeatFilter();
   private State state = State.UNFENCED;
@@ -98,6 +105,7 @@
     if (next == State.FENCED && !hasRestarted()) {
       // Commands sent with a former token are refused from here on.
       unansweredStarts.clear();
+      answeredStarts.clear();
     }
     wasCleared |= next != State.UNFENCED;
     state = next;
@@ -155,12 +163,16 @@
     // new token excludes that.
     if (lastHeartbeat != null && lastHeartbeat.session() != next.session() && !hasRestarted()) {
       unansweredStarts.clear();
+      answeredStarts.clear();
       startsInFlight.clear();
     }
     if (beat) {
       startsInResponse.clear();
     }
     lastHeartbeat = next;
+    if (!answeredStarts.isEmpty() && !hasRestarted()) {
+      answeredStarts.keySet().retainAll(reportedAttempts());
+    }
   }
 
   /**
@@ -366,13 +378,32 @@
   }
 
   /**
-   * Whether a start of this attempt may still be executed; its exit must then not be cleared, or
-   * the attempt would start again.
+   * Whether a start of this attempt may still be executed although the machine does not have it.
+   * After a restart that is every start that was sent directly, answered or not: a copy of the
+   * request may arrive, and the agent has forgotten the attempt.
    */
   boolean mayStillBeStarted(Attempt attempt) {
     return startsInFlight.containsKey(attempt)
         || unansweredStarts.containsKey(attempt)
-        || startsInResponse.contains(attempt);
+        || startsInResponse.contains(attempt)
+        || (hasRestarted() && answeredStarts.containsKey(attempt));
+  }
+
+  /**
+   * Whether the machine must keep an exit, because a start of the attempt may still arrive, for the
+   * first time or as a copy; without the exit it would start the attempt again.
+   */
+  boolean mustKeepExit(Heartbeat.TaskStatus exit) {
+    return mayStillBeStarted(exit.attempt()) || mayBeRepeated(exit);
+  }
+
+  /**
+   * Whether a copy of the start would run an exited attempt again. A completed task is the
+   * exception: the machine keeps its result, and a copy of the start ends at once.
+   */
+  private boolean mayBeRepeated(Heartbeat.TaskStatus exit) {
+    return exit.exitReason() != Heartbeat.ExitReason.DONE
+        && answeredStarts.containsKey(exit.attempt());
   }
 
   /**
@@ -388,7 +419,9 @@
    * shown.
    */
   boolean mayStillStartAny(Predicate<TaskId> which) {
-    return mayStillStartAny(unansweredStarts, which) || mayStillStartAny(startsInFlight, which);
+    return mayStillStartAny(unansweredStarts, which)
+        || mayStillStartAny(startsInFlight, which)
+        || mayStillStartAny(answeredStarts, which);
   }
 
   private boolean mayStillStartAny(Map<Attempt, TaskId> starts, Predicate<TaskId> which) {
@@ -401,19 +434,20 @@
   }
 
   /**
-   * The number of reported exits that must not be cleared because a start of them may still arrive.
+   * Whether the machine keeps so many exits that its heartbeats become long. It then needs a new
+   * token, which lets them be cleared, and until then gets starts in responses alone, as those
+   * cannot arrive twice.
    */
-  int retainedExits() {
-    int kept = 0;
-    if (!unansweredStarts.isEmpty() && lastHeartbeat != null) {
-      for (Heartbeat.TaskStatus status : lastHeartbeat.tasks()) {
-        kept +=
-            status.state() == Heartbeat.TaskState.EXITED && needsTokenToResolve(status.attempt())
-                ? 1
-                : 0;
-      }
-    }
-    return kept;
+  boolean keepsManyExits() {
+    return lastHeartbeat != null
+        && lastHeartbeat.tasks().size() > MAX_KEPT_EXITS
+        && lastHeartbeat.tasks().stream().filter(this::isKeptUntilNewToken).count()
+            > MAX_KEPT_EXITS;
+  }
+
+  private boolean isKeptUntilNewToken(Heartbeat.TaskStatus status) {
+    return status.state() == Heartbeat.TaskState.EXITED
+        && (needsTokenToResolve(status.attempt()) || mayBeRepeated(status));
   }
 
   /** Records that the response to the last heartbeat contains these starts. */
@@ -432,12 +466,17 @@
   }
 
   void directAnswered(Map<Attempt, TaskId> starts) {
+    directEnded(starts);
+    answeredStarts.putAll(starts);
+  }
+
+  private void directEnded(Map<Attempt, TaskId> starts) {
     directRunning = false;
     startsInFlight.keySet().removeAll(starts.keySet());
   }
 
   void directFailed(Map<Attempt, TaskId> starts, boolean mayHaveArrived, MonotonicTime retryAt) {
-    directAnswered(starts);
+    directEnded(starts);
     staleFilter.statusRequestFailed();
     if (mayHaveArrived) {
       unansweredStarts.putAll(starts);
--- a/src/main/java/org/quincecross/shard/TokenRenewal.java
+++ b/src/main/java/org/quincecross/shard/TokenRenewal.java
@@ -13,9 +13,6 @@
   /** A stop that has waited this long for a start without a response needs a new token. */
   private static final TimeSpan DOUBT_TIMEOUT = TimeSpan.ofSeconds(8);
 
-  /** This many exits that cannot be cleared make heartbeats long enough to ask for a new token. */
-  private static final int MAX_RETAINED_EXITS = 100;
-
   private TokenRenewal() {}
 
   /**
@@ -38,7 +35,6 @@
       }
     }
     return sessions.values().stream()
-        .anyMatch(
-            session -> session.hasRestarted() || session.retainedExits() > MAX_RETAINED_EXITS);
+        .anyMatch(session -> session.hasRestarted() || session.keepsManyExits());
   }
 }
--- a/src/test/java/org/quincecross/emulator/FastRestartFaults.java
+++ b/src/test/java/org/quincecross/emulator/FastRestartFaults.java
@@ -29,6 +29,14 @@
     return this;
   }
 
+  /** A share of all direct commands is executed a second time, 1 s to three leases later. */
+  FastRestartFaults duplicateCommands(double share) {
+    Random draws = new Random(random.nextLong());
+    cluster.time().at(START_S, () -> cluster.duplicateCommands(share, draws));
+    cluster.time().at(END_S, () -> cluster.duplicateCommands(0, draws));
+    return this;
+  }
+
   /**
    * Between these seconds of the day a share of commands, reports and answers to both is delayed by
    * up to {@code longestS}.
--- a/src/test/java/org/quincecross/emulator/SeedsTest.java
+++ b/src/test/java/org/quincecross/emulator/SeedsTest.java
@@ -68,6 +68,12 @@
     run(DelayedMessagesTest::scenario);
   }
 
+  /** The same with commands that were executed and arrive a second time. */
+  @Test
+  void keepsRulesWithDuplicatedCommands() {
+    run(DuplicatedCommandsTest::scenario);
+  }
+
   /**
    * Jobs of two and three tasks that end far apart, while controllers fail, are partitioned and
    * return.
--- a/src/test/java/org/quincecross/shard/ShardOwnerHarness.java
+++ b/src/test/java/org/quincecross/shard/ShardOwnerHarness.java
@@ -244,7 +244,13 @@
         StandardCharsets.UTF_8);
   }
 
+  /** The agent executes the last direct command and responds with these statuses. */
   void respondToLastCommand(List<TaskStatus> statuses) {
+    respondToLastCommand(owner.lease().token().value(), statuses);
+  }
+
+  /** The same with the token that the agent shows. */
+  void respondToLastCommand(long token, List<TaskStatus> statuses) {
     List<Object> out = new ArrayList<>();
     statuses.forEach(
         status ->
@@ -255,9 +261,9 @@
                     "Try",
                     status.attempt().value(),
                     "Status",
-                    "exited",
+                    status.state() == TaskState.EXITED ? "exited" : "running",
                     "Cause",
-                    "stopped")));
+                    status.state() == TaskState.EXITED ? "stopped" : null)));
     calls
         .remove(calls.size() - 1)
         .accept(
@@ -279,7 +285,7 @@
                             "Tick",
                             ++order,
                             "Baton",
-                            owner.lease().token().value(),
+                            token,
                             "Pieces",
                             out)))));
   }
