StartTracker: direct starts are bounded, and have a class of their own

Cause: exits of direct starts are kept until a new token, and a machine whose tasks are tiny may have hundreds. If urgent work displaces them all, again and again, its heartbeat could exceed 64 KiB, which no controller reads.

The attempts of a heartbeat are collected once.

--- a/src/main/java/org/quincecross/shard/AgentCommandSender.java
+++ b/src/main/java/org/quincecross/shard/AgentCommandSender.java
@@ -33,7 +33,7 @@
  * <p>Each direct command waits for its response, {@link #COMMAND_TIMEOUT} at most. A command
  * without a response is not retried by itself: its content is repeated in the response to the
  * agent's next heartbeat, or after {@link #COMMAND_RETRY_DELAY}. That it may still be executed, or
- * executed again if it was answered, is remembered per attempt by {@link AgentSession} until the
+ * executed again if it was answered, is remembered per attempt by {@link StartTracker} until the
  * agent has shown a higher token or a new session.
  */
 final class AgentCommandSender {
@@ -79,7 +79,7 @@
                     && placement.state() == Placement.State.COMPLETED
                     && placement.machine().equals(machine)
                     && placement.attempt().equals(status.attempt()));
-        if (!keep && !session.mustKeepExit(status)) {
+        if (!keep && !session.starts().mustKeepExit(status)) {
           commands.add(AgentCommand.forget(status.task(), status.attempt()));
         }
       } else if (!ours) {
@@ -100,12 +100,16 @@
     return commands.size() > MAX_COMMANDS ? commands.subList(0, MAX_COMMANDS) : commands;
   }
 
-  /** The pending commands that may be sent directly. */
+  /** The pending commands without the starts that have to wait for a response to a heartbeat. */
   private List<AgentCommand> pendingDirectCommands(AgentSession session) {
-    List<AgentCommand> commands = pendingCommands(session);
-    return session.keepsManyExits()
-        ? commands.stream().filter(each -> each.verb() != AgentCommand.Verb.START).toList()
-        : commands;
+    int remainingStarts = session.starts().remainingDirectStarts();
+    List<AgentCommand> commands = new ArrayList<>();
+    for (AgentCommand command : pendingCommands(session)) {
+      if (command.verb() != AgentCommand.Verb.START || remainingStarts-- > 0) {
+        commands.add(command);
+      }
+    }
+    return commands;
   }
 
   /** Whether the agent may get a response, which renews its lease. */
@@ -118,7 +122,7 @@
     List<AgentCommand> commands =
         session.state() == AgentSession.State.FENCED ? pendingCommands(session) : List.of();
     markSent(commands);
-    session.startsInResponse(starts(commands).keySet());
+    session.starts().sentInResponse(starts(commands).keySet());
     return AgentCodec.writeResponse(state.lease().token(), commands);
   }
 
--- a/src/main/java/org/quincecross/shard/AgentSession.java
+++ b/src/main/java/org/quincecross/shard/AgentSession.java
@@ -1,6 +1,5 @@
 package org.quincecross.shard;
 
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -8,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import org.quincecross.failuredetection.OneWayPartitionDetector;
 import org.quincecross.failuredetection.StaleHeartbeatFilter;
 import org.quincecross.model.Attempt;
@@ -42,24 +42,16 @@
 
   private static final long MAX_SESSION_GAP = 2;
 
-  /** More exits that cannot be cleared make heartbeats long. */
-  private static final int MAX_KEPT_EXITS = 100;
-
   private final Machine machine;
   private final Resources capacity;
   private final double cacheGb;
   private final Map<String, Double> images = new LinkedHashMap<>(16, 0.75f, true);
   private final Set<String> imagePulled = new HashSet<>();
-  private final Map<Attempt, TaskId> startsInFlight = new HashMap<>();
-  private final Map<Attempt, TaskId> unansweredStarts = new HashMap<>();
-
-  /** Direct starts of attempts that the machine has; a copy of the request may arrive later. */
-  private final Map<Attempt, TaskId> answeredStarts = new HashMap<>();
-
-  private final Set<Attempt> startsInResponse = new HashSet<>();
+  private final StartTracker starts = new StartTracker(this::hasRestarted);
   private final StaleHeartbeatFilter staleFilter = new StaleHeartbeatFilter();
   private State state = State.UNFENCED;
   private Heartbeat lastHeartbeat;
+  private Set<Attempt> reportedAttempts = Set.of();
   private MonotonicTime lastContact;
   private MonotonicTime leaseFrom;
 
@@ -102,10 +94,8 @@
 
   /** The only method that changes the state. */
   void enter(State next) {
-    if (next == State.FENCED && !hasRestarted()) {
-      // Commands sent with a former token are refused from here on.
-      unansweredStarts.clear();
-      answeredStarts.clear();
+    if (next == State.FENCED) {
+      starts.tokenShown();
     }
     wasCleared |= next != State.UNFENCED;
     state = next;
@@ -141,9 +131,7 @@
 
   /** The attempts in the last heartbeat, in any state. */
   Set<Attempt> reportedAttempts() {
-    Set<Attempt> reported = new HashSet<>();
-    lastHeartbeat.tasks().forEach(status -> reported.add(status.attempt()));
-    return reported;
+    return reportedAttempts;
   }
 
   /**
@@ -159,20 +147,13 @@
       // docs/incidents/session-without-an-answer.md and lease-of-a-new-session.md.
       shownFrom = now;
     }
-    // A restarted agent may reach the session number that an earlier command was sent to: only a
-    // new token excludes that.
-    if (lastHeartbeat != null && lastHeartbeat.session() != next.session() && !hasRestarted()) {
-      unansweredStarts.clear();
-      answeredStarts.clear();
-      startsInFlight.clear();
-    }
-    if (beat) {
-      startsInResponse.clear();
+    if (lastHeartbeat != null && lastHeartbeat.session() != next.session()) {
+      starts.sessionChanged();
     }
     lastHeartbeat = next;
-    if (!answeredStarts.isEmpty() && !hasRestarted()) {
-      answeredStarts.keySet().retainAll(reportedAttempts());
-    }
+    reportedAttempts =
+        next.tasks().stream().map(Heartbeat.TaskStatus::attempt).collect(Collectors.toSet());
+    starts.reported(reportedAttempts, beat);
   }
 
   /**
@@ -377,41 +358,9 @@
     }
   }
 
-  /**
-   * Whether a start of this attempt may still be executed although the machine does not have it.
-   * After a restart that is every start that was sent directly, answered or not: a copy of the
-   * request may arrive, and the agent has forgotten the attempt.
-   */
-  boolean mayStillBeStarted(Attempt attempt) {
-    return startsInFlight.containsKey(attempt)
-        || unansweredStarts.containsKey(attempt)
-        || startsInResponse.contains(attempt)
-        || (hasRestarted() && answeredStarts.containsKey(attempt));
-  }
-
-  /**
-   * Whether the machine must keep an exit, because a start of the attempt may still arrive, for the
-   * first time or as a copy; without the exit it would start the attempt again.
-   */
-  boolean mustKeepExit(Heartbeat.TaskStatus exit) {
-    return mayStillBeStarted(exit.attempt()) || mayBeRepeated(exit);
-  }
-
-  /**
-   * Whether a copy of the start would run an exited attempt again. A completed task is the
-   * exception: the machine keeps its result, and a copy of the start ends at once.
-   */
-  private boolean mayBeRepeated(Heartbeat.TaskStatus exit) {
-    return exit.exitReason() != Heartbeat.ExitReason.DONE
-        && answeredStarts.containsKey(exit.attempt());
-  }
-
-  /**
-   * Whether only a new token or session can resolve whether an attempt was started, because no
-   * other evidence will arrive.
-   */
-  boolean needsTokenToResolve(Attempt attempt) {
-    return unansweredStarts.containsKey(attempt);
+  /** The starts that the agent may still execute. */
+  StartTracker starts() {
+    return starts;
   }
 
   /**
@@ -419,68 +368,33 @@
    * shown.
    */
   boolean mayStillStartAny(Predicate<TaskId> which) {
-    return mayStillStartAny(unansweredStarts, which)
-        || mayStillStartAny(startsInFlight, which)
-        || mayStillStartAny(answeredStarts, which);
-  }
-
-  private boolean mayStillStartAny(Map<Attempt, TaskId> starts, Predicate<TaskId> which) {
-    if (starts.isEmpty()) {
-      return false;
-    }
-    Set<Attempt> shown = lastHeartbeat == null ? Set.of() : reportedAttempts();
-    return starts.entrySet().stream()
-        .anyMatch(start -> !shown.contains(start.getKey()) && which.test(start.getValue()));
+    return starts.mayStillStartAny(reportedAttempts, which);
   }
 
-  /**
-   * Whether the machine keeps so many exits that its heartbeats become long. It then needs a new
-   * token, which lets them be cleared, and until then gets starts in responses alone, as those
-   * cannot arrive twice.
-   */
+  /** Whether the machine keeps so many exits that it needs a new token. */
   boolean keepsManyExits() {
-    return lastHeartbeat != null
-        && lastHeartbeat.tasks().size() > MAX_KEPT_EXITS
-        && lastHeartbeat.tasks().stream().filter(this::isKeptUntilNewToken).count()
-            > MAX_KEPT_EXITS;
-  }
-
-  private boolean isKeptUntilNewToken(Heartbeat.TaskStatus status) {
-    return status.state() == Heartbeat.TaskState.EXITED
-        && (needsTokenToResolve(status.attempt()) || mayBeRepeated(status));
-  }
-
-  /** Records that the response to the last heartbeat contains these starts. */
-  void startsInResponse(Set<Attempt> starts) {
-    startsInResponse.addAll(starts);
+    return lastHeartbeat != null && starts.keepsManyExits(lastHeartbeat.tasks());
   }
 
   boolean canSendDirect(MonotonicTime now) {
     return !directRunning && !now.isBefore(directAfter);
   }
 
-  void directSent(Map<Attempt, TaskId> starts) {
+  void directSent(Map<Attempt, TaskId> sent) {
     directRunning = true;
     staleFilter.statusRequested();
-    startsInFlight.putAll(starts);
+    starts.sentDirectly(sent);
   }
 
-  void directAnswered(Map<Attempt, TaskId> starts) {
-    directEnded(starts);
-    answeredStarts.putAll(starts);
-  }
-
-  private void directEnded(Map<Attempt, TaskId> starts) {
+  void directAnswered(Map<Attempt, TaskId> sent) {
     directRunning = false;
-    startsInFlight.keySet().removeAll(starts.keySet());
+    starts.answered(sent);
   }
 
-  void directFailed(Map<Attempt, TaskId> starts, boolean mayHaveArrived, MonotonicTime retryAt) {
-    directEnded(starts);
+  void directFailed(Map<Attempt, TaskId> sent, boolean mayHaveArrived, MonotonicTime retryAt) {
+    directRunning = false;
     staleFilter.statusRequestFailed();
-    if (mayHaveArrived) {
-      unansweredStarts.putAll(starts);
-    }
+    starts.failed(sent, mayHaveArrived);
     directAfter = retryAt;
   }
 }
--- a/src/main/java/org/quincecross/shard/TaskStatusProcessor.java
+++ b/src/main/java/org/quincecross/shard/TaskStatusProcessor.java
@@ -144,7 +144,7 @@
       if (placement.state() == Placement.State.STARTING) {
         placement
             .markCommandUnsent(); // the start has not arrived, or not yet, so it may be repeated
-      } else if (beat && !session.mayStillBeStarted(placement.attempt())) {
+      } else if (beat && !session.starts().mayStillBeExecuted(placement.attempt())) {
         placement.leftMachine(now);
         context.notifyLeader();
       }
@@ -161,7 +161,8 @@
     for (Placement placement : placements.on(session.machine().id())) {
       if (placement.isOnMachine()
           && !reported.contains(placement.attempt())
-          && !(session.hasRestarted() && session.mayStillBeStarted(placement.attempt()))) {
+          && !(session.hasRestarted()
+              && session.starts().mayStillBeExecuted(placement.attempt()))) {
         placement.leftMachine(now);
       }
     }
--- a/src/main/java/org/quincecross/shard/TokenRenewal.java
+++ b/src/main/java/org/quincecross/shard/TokenRenewal.java
@@ -28,7 +28,7 @@
       // A machine that receives nothing will not show a new token either; the end of its session
       // resolves the doubt.
       if (session.reachability().isReceiving()
-          && session.needsTokenToResolve(placement.attempt())
+          && session.starts().needsTokenToResolve(placement.attempt())
           && now.since(placement.since()).isLongerThan(DOUBT_TIMEOUT)
           && !session.reportedAttempts().contains(placement.attempt())) {
         return true;
--- a/src/main/java/org/quincecross/shard/UnplacedReasons.java
+++ b/src/main/java/org/quincecross/shard/UnplacedReasons.java
@@ -55,7 +55,7 @@
 
   private static String on(Placement placement, AgentSession session) {
     String doubt =
-        session != null && session.needsTokenToResolve(placement.attempt())
+        session != null && session.starts().needsTokenToResolve(placement.attempt())
             ? ", whose answer to the start never came"
             : "";
     return placement.machine() + doubt;
